The whole path, thin, as separate processes

Cause: nothing stood yet. A caller needs one true answer from end to end before any point can be proved.

Weighed: entries that connect to upstreams themselves with divided limits (ruled out: slots of 2 to 4 do not divide by 4 VMs, and limits held by each node alone do not add up), against an entry and a dispatch process on each VM where one dispatch process owns each replica. The second is built.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup run test bench clean
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $@
+
+run: setup
+	$(BIN)/anvilhoist-bench demo
+
+test: setup
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/python -m pytest
+
+bench: setup
+	$(BIN)/anvilhoist-bench experiment experiments/kritcirkeln.toml
+	$(BIN)/anvilhoist-bench experiment experiments/umutekano.toml
+
+clean:
+	rm -rf $(VENV) reports
--- /dev/null
+++ b/src/anvilhoist/process.py
@@ -0,0 +1,126 @@
+"""Running a binary: command line, event loop, signals, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from functools import wraps
+
+import fire
+import fire.core
+import uvloop
+
+from . import __version__
+from .errors import SettingsError, UsageError
+from .tasks import find_exit_code
+
+Run = Callable[[], Awaitable[int]]
+
+
+def parse_command(
+    name: str, commands: Callable | dict[str, Callable], arguments: Sequence[str]
+) -> Run:
+    """Parse a command line whole before anything is started.
+
+    The library runs a command before it looks at what is left of the line, so
+    the commands only hand back what is to be run.
+
+    Parameters
+    ----------
+    name : str
+        Name of the binary.
+    commands : callable or dict of callable
+        Each takes the flags and returns what is to be run.
+    arguments : sequence of str
+        Command line without the name.
+
+    Returns
+    -------
+    callable
+        Coroutine function whose result is the exit code.
+
+    Raises
+    ------
+    UsageError
+        If the line names a wrong flag or a surplus argument.
+    """
+    if "--" in arguments or "-" in arguments:
+        raise UsageError(f"{name}: '-' and '--' are not arguments")
+    parsed: list[Run] = []
+
+    def keep(function: Callable) -> Callable:
+        @wraps(function)
+        def parse(*args, **kwargs):
+            parsed.append(function(*args, **kwargs))
+
+        return parse
+
+    if callable(commands):
+        component = keep(commands)
+    else:
+        component = {key: keep(function) for key, function in commands.items()}
+    fire.core.Display = _display
+    try:
+        fire.Fire(component, command=list(arguments), name=name, serialize=_serialize)
+    except fire.core.FireExit as error:
+        if error.code == 0:
+            raise SystemExit(0) from None
+        raise UsageError(f"{name}: see {name} --help") from None
+    if len(parsed) != 1:
+        raise UsageError(f"{name}: a command is missing; see {name} --help")
+    return parsed[0]
+
+
+def run_binary(name: str, commands: Callable | dict[str, Callable]) -> None:
+    """Run a binary from its command line and exit."""
+    arguments = sys.argv[1:]
+    if arguments == ["--version"]:
+        print(f"{name} {__version__}")
+        raise SystemExit(0)
+    try:
+        run = parse_command(name, commands, arguments)
+        code = run_loop(run)
+    except (UsageError, SettingsError) as error:
+        print(f"{name}: {error}", file=sys.stderr)
+        code = error.exit_code
+    sys.stdout.flush()
+    raise SystemExit(code)
+
+
+def run_loop(run: Run) -> int:
+    """Run a coroutine function on the event loop that the project pins."""
+    logging.getLogger("sanic").setLevel(logging.CRITICAL)
+    logging.getLogger("websockets").setLevel(logging.CRITICAL)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return find_exit_code(runner.run(run()))
+
+
+async def wait_for_stop() -> str:
+    """Wait for SIGTERM or SIGINT.
+
+    Returns
+    -------
+    str
+        Name of the signal.
+    """
+    loop = asyncio.get_running_loop()
+    stopped: asyncio.Future[str] = loop.create_future()
+
+    def stop(name: str) -> None:
+        if not stopped.done():
+            stopped.set_result(name)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop, number.name)
+    return await stopped
+
+
+def _display(lines: Sequence[str], out) -> None:
+    print("\n".join(lines), file=out)
+
+
+def _serialize(_result: object) -> str:
+    return ""
