Hand replicas over between owners without a gap

The replicas of the leaving VM were waited for, and the entries' turn to the previous owner flipped back and forth between concurrent queries.

Ruled out: the data centre's own replicas (each shard has one elsewhere), and queues (no refusal of that kind was logged).

Change: the process that loses a replica goes on with it for at most 1 s, until the new owner asks for it under the same list of VMs; then it stops, and names it once nothing is at work there, together with what it knows of the upstream's run. A query turns to the other of the two owners, away from the one that just refused.

--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/dispatch.py
@@ -29,6 +29,7 @@
     SubReply,
     SubRequest,
     Sync,
+    SyncReply,
     TicketAsk,
 )
 from .metrics import Metrics
@@ -45,6 +46,7 @@
 from .view import View
 
 HANDOVER_LIMIT_S = 5.0
+URGENT_WAIT_S = 2.0
 DRAIN_POLL_S = 0.05
 DEFAULT_QUEUE_BOUND = 16
 LOAD_HINT_NONE = 0
@@ -140,6 +142,8 @@
             self.log,
             self.metrics,
             now,
+            self._take_sync_reply,
+            lambda: self.ownership.has_young_wait(URGENT_WAIT_S),
         )
         self.view.listen(self._on_document)
 
@@ -199,17 +203,17 @@
         self.synchroniser.draining = True
         self.log.decide("drain", self.settings.vm, "asked to stop")
         until = self.now() + HANDOVER_LIMIT_S
-        while self.ownership.held and self.now() < until and self._list_follows():
+        while self._has_to_hand_over() and self.now() < until:
             await asyncio.sleep(DRAIN_POLL_S)
         self.replicas.stopping = True
         until = self.now() + DEADLINE_MAX_MS / 1000
         while self._is_busy() and self.now() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
-    def _list_follows(self) -> bool:
-        """Whether another VM is there to take the replicas over."""
+    def _has_to_hand_over(self) -> bool:
+        """Whether replicas are here that another live VM can take."""
         vms = self.view.vms
-        if vms is None:
+        if vms is None or not (self.ownership.held or self.ownership.lingering):
             return False
         others = (vm for name, vm in vms.vms.items() if name != self.settings.vm)
         return any(vm.state == "live" for vm in others)
@@ -217,9 +221,16 @@
     def _is_busy(self) -> bool:
         return bool(self._running or self._bookings)
 
-    def _answer_sync(self, sync: Sync):
-        released = self.ownership.released(self.replicas.count_at_work)
-        return self.synchroniser.answer(sync, released, self.membership.is_current())
+    def _answer_sync(self, sync: Sync) -> SyncReply:
+        given = self.ownership.hand_over(sync, self.replicas.count_at_work)
+        handed = tuple(self.replicas.describe_handed(name) for name in given)
+        return self.synchroniser.answer(sync, handed, self.membership.is_current())
+
+    def _take_sync_reply(self, reply: SyncReply) -> None:
+        taken = self.ownership.take_over(reply)
+        self.replicas.adopt(
+            tuple(item for item in reply.handed if item.replica in taken)
+        )
 
     def _on_document(self, _key: str) -> None:
         self.ownership.refresh()
--- a/src/anvilhoist/entry.py
+++ b/src/anvilhoist/entry.py
@@ -84,10 +84,18 @@
             self.log,
             self.metrics,
             now,
+            lambda _reply: None,
+            lambda: False,
         )
         balancer = Balancer(now, np.random.default_rng())
         self.routing = Routing(
-            self.view, self.links, balancer, self.log, self.metrics, now
+            self.view,
+            self.links,
+            balancer,
+            self.log,
+            self.metrics,
+            now,
+            self.synchroniser.hurry,
         )
         self.metrics.watch("in_progress", lambda: float(self._in_progress))
 
--- a/src/anvilhoist/gate.py
+++ b/src/anvilhoist/gate.py
@@ -157,6 +157,34 @@
             self._warm = True
             self.tell("warm", f"no fault for {ramp_s:.3f} s")
 
+    def adopt(self, incarnation: str, ramp_age_s: float) -> None:
+        """Take over what an earlier owner knew of the replica's run.
+
+        It counts from the first answer on, if that is of the same run.
+
+        Parameters
+        ----------
+        ramp_age_s : float
+            Time for which the run has answered without a fault, in seconds;
+            negative if it has not.
+        """
+        if ramp_age_s < 0 or self._first_success_at is not None:
+            return
+        self._incarnation = incarnation
+        self._first_success_at = self.now() - ramp_age_s
+
+    @property
+    def incarnation(self) -> str:
+        """The upstream's run as it was last seen."""
+        return self._incarnation
+
+    @property
+    def ramp_age_s(self) -> float:
+        """Time since the run first answered, in seconds; negative if never."""
+        if self._first_success_at is None:
+            return -1.0
+        return self.now() - self._first_success_at
+
     def note_cold(self, reason: str) -> None:
         """Treat the replica as cold from now on."""
         if self._warm or self._first_success_at is not None:
--- a/src/anvilhoist/messages.py
+++ b/src/anvilhoist/messages.py
@@ -24,6 +24,24 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """A replica that changes its owner, with nothing at work on it.
+
+    Attributes
+    ----------
+    incarnation : str
+        The upstream's run as the old owner knew it.
+    ramp_age_s : float
+        Time for which that run has answered without a fault, in seconds;
+        negative if it has not.
+    """
+
+    replica: str
+    incarnation: str
+    ramp_age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Sync:
     """Asks a peer for newer documents and tells it the sender's revisions.
@@ -63,9 +81,8 @@
         Whether the answering process has heard enough of its cell to confirm.
     current : bool
         Whether the answering process may act on its view.
-    released : int
-        Newest revision of the list of VMs under which the answering process has
-        nothing at work on replicas that it no longer owns.
+    handed : tuple of Handed
+        Replicas that the answering process held until now and gives to the asker.
     superseded : bool
         Whether a newer incarnation at the asker's slot is known.
     draining_entries : tuple of str
@@ -79,7 +96,7 @@
     documents: tuple[Published, ...]
     joined: bool
     current: bool
-    released: int
+    handed: tuple[Handed, ...]
     superseded: bool
     draining_entries: tuple[str, ...]
 
@@ -249,12 +266,12 @@
 }
 _TAG_OF = {cls: tag for tag, cls in _TAGS.items()}
 _NESTED: dict[type, dict[str, type]] = {
-    SyncReply: {"documents": Published},
+    SyncReply: {"documents": Published, "handed": Handed},
     SubBatch: {"items": SubRequest},
     SubReplies: {"items": SubReply},
     SubReply: {"hits": Hit},
 }
-_CLASSES = (*_TAGS.values(), Published, SubRequest, SubReply, Hit)
+_CLASSES = (*_TAGS.values(), Published, Handed, SubRequest, SubReply, Hit)
 _NAMES = {cls: tuple(item.name for item in fields(cls)) for cls in _CLASSES}
 _READ = {cls: attrgetter(*names) for cls, names in _NAMES.items() if len(names) > 1}
 
--- a/src/anvilhoist/replicas.py
+++ b/src/anvilhoist/replicas.py
@@ -13,6 +13,7 @@
 from .errors import Failure, Kind
 from .gate import Gate
 from .membership import Membership
+from .messages import Handed
 from .metrics import Metrics
 from .ownership import Ownership
 from .tasks import start_task
@@ -93,6 +94,22 @@
         """Stations of all replicas with work or ownership here."""
         return tuple(self._stations.values())
 
+    def describe_handed(self, name: str) -> Handed:
+        """What the next owner of a replica needs to know of it."""
+        station = self._stations.get(name)
+        if station is None:
+            return Handed(name, "", -1.0)
+        gate = station.gate
+        return Handed(name, gate.incarnation, gate.ramp_age_s)
+
+    def adopt(self, handed: tuple[Handed, ...]) -> None:
+        """Take over what earlier owners knew of their replicas."""
+        self.refresh()
+        for item in handed:
+            station = self._stations.get(item.replica)
+            if station is not None:
+                station.gate.adopt(item.incarnation, item.ramp_age_s)
+
     def refresh(self) -> None:
         """Make stations for new replicas and drop those that are done with."""
         directory = self.view.directory
@@ -225,7 +242,7 @@
 
     def _drop_if_done(self, name: str) -> None:
         station = self._stations[name]
-        if self.ownership.owns(name) or station.gate.load > 0:
+        if self.ownership.keeps(name) or station.gate.load > 0:
             return
         del self._stations[name]
         start_task(station.client.close())
--- a/src/anvilhoist/search.py
+++ b/src/anvilhoist/search.py
@@ -29,6 +29,7 @@
 BUDGET_BURST = 20.0
 RETRY_PAUSE_S = 0.02
 ANSWER_MARGIN_S = 0.005
+DETOURS_LIMIT = 4
 
 NOT_SENT = frozenset(
     {
@@ -73,8 +74,11 @@
     log: DecisionLog
     metrics: Metrics
     now: Callable[[], float]
+    hurry: Callable[[], None]
+    _detours: set[str] = field(default_factory=set)
     _profiles: dict[str, ProfileState] = field(default_factory=dict)
     _placement: Placement | None = None
+    _previous: Placement | None = None
 
     def profile_state(self, name: str, profile: Profile) -> ProfileState:
         """Shared state of a profile."""
@@ -101,18 +105,54 @@
         if vms is None or directory is None:
             return None
         if self._placement is None or not self._placement.matches(vms, directory):
+            self._detours.clear()
+            self._previous = self._placement
             self._placement = Placement(vms, directory)
         return self._placement
 
     def find_link(self, replica: str) -> Link | None:
-        """Link to the owner of a replica, if it is up."""
+        """Link to the owner of a replica, if it is up.
+
+        While the owner changes, the previous one may still serve the replica.
+        """
         placement, vms = self.placement(), self.view.vms
-        owner = None if placement is None else placement.owner(replica)
-        if owner is None:
+        if placement is None:
+            return None
+        owner = placement.owner(replica)
+        if replica in self._detours and self._previous is not None:
+            owner = self._previous.owner(replica)
+        if owner is None or owner not in vms.vms:
             return None
         link = self.links.get(vms.vms[owner].dispatch)
         return link if link.is_up else None
 
+    def take_detour(self, replica: str, link: Link) -> bool:
+        """Turn from the process that doesn't serve a replica to the other one.
+
+        While the owner changes these are the owner and the one before it.
+
+        Parameters
+        ----------
+        link : Link
+            Link to the process that was asked.
+
+        Returns
+        -------
+        bool
+            Whether there is another process to turn to.
+        """
+        self.hurry()
+        if self.find_link(replica) is not link:
+            return True
+        if replica in self._detours:
+            self._detours.discard(replica)
+            return True
+        previous, present = self._previous, self._placement
+        if previous is None or previous.owner(replica) == present.owner(replica):
+            return False
+        self._detours.add(replica)
+        return True
+
     def may_use(self, replica: str) -> bool:
         """Whether the view in force allows work on a replica."""
         directory, config = self.view.directory, self.view.config
@@ -157,6 +197,7 @@
     tried: set[str] = field(default_factory=set)
     tries: list[_Try] = field(default_factory=list)
     gone: set[str] = field(default_factory=set)
+    detours: int = 0
     hedged: bool = False
     failed: bool = False
     retry_at: float | None = None
@@ -311,9 +352,13 @@
             shard.gone.add(sent.replica)
         if shard.tries:
             return
-        self._try_again(shard, failure)
+        self._try_again(shard, sent, failure)
 
-    def _try_again(self, shard: _Shard, failure: Failure) -> None:
+    def _try_again(self, shard: _Shard, sent: _Try, failure: Failure) -> None:
+        if failure.kind in WORTH_WAITING and shard.detours < DETOURS_LIMIT:
+            if self.routing.take_detour(sent.replica, sent.link):
+                shard.detours += 1
+                shard.tried.discard(sent.replica)
         left = self._choices(shard, shard.tried)
         is_free = failure.kind in NOT_SENT or failure.kind is Kind.SNAPSHOT_GONE
         if left and (is_free or self._may_retry()):
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -16,7 +16,7 @@
 from .documents import KEYS, Vms
 from .link import Link, PeerLostError, PeerUnreachedError
 from .membership import SYNC_PERIOD_S, Membership, list_cell
-from .messages import Sync, SyncReply
+from .messages import Handed, Sync, SyncReply
 from .metrics import Metrics
 from .placement import choose_watchers, score
 from .platform import PlatformClient, Reading
@@ -25,6 +25,7 @@
 from .view import View
 
 SYNC_TIMEOUT_S = 0.5
+URGENT_PERIOD_S = 0.03
 WATCH_RETRY_S = 0.5
 FALLBACK_AFTER_S = 3.0
 FALLBACK_PERIOD_S = 5.0
@@ -82,6 +83,10 @@
         Binary: "entry" or "dispatch".
     watches : bool
         Whether this process may watch the platform.
+    take_reply : callable
+        Called with each peer's answer once its documents are taken in.
+    is_urgent : callable
+        Whether peers are to be asked at the short period.
     """
 
     settings: ProcessSettings
@@ -94,7 +99,10 @@
     log: DecisionLog
     metrics: Metrics
     now: Callable[[], float]
+    take_reply: Callable[[SyncReply], None]
+    is_urgent: Callable[[], bool]
     draining: bool = False
+    _hurry: asyncio.Event = field(default_factory=asyncio.Event)
     _peers: dict[str, asyncio.Task] = field(default_factory=dict)
     _tasks: list[asyncio.Task] = field(default_factory=list)
     _random: np.random.Generator = field(default_factory=np.random.default_rng)
@@ -113,7 +121,9 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def answer(self, sync: Sync, released: int, current: bool) -> SyncReply:
+    def answer(
+        self, sync: Sync, handed: tuple[Handed, ...], current: bool
+    ) -> SyncReply:
         """Answer a peer and remember what it said of itself."""
         superseded = self.membership.note_incarnation(
             sync.vm, sync.role, sync.incarnation
@@ -131,11 +141,16 @@
             documents=self.view.newer_than(sync.revisions),
             joined=self.membership.has_joined(),
             current=current,
-            released=released,
+            handed=handed,
             superseded=superseded,
             draining_entries=self.membership.draining_directly(keep_s),
         )
 
+    def hurry(self) -> None:
+        """Ask the peers now, as their view seems to be newer."""
+        self._hurry.set()
+        self._hurry.clear()
+
     def choose_peers(self) -> set[str]:
         """Dispatch addresses that this process asks."""
         vms = self.view.vms
@@ -167,7 +182,18 @@
         link = self.links.get(address)
         while True:
             await self._sync_once(link)
-            await asyncio.sleep(SYNC_PERIOD_S * self._random.uniform(0.8, 1.0))
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait for the next time to ask; a hurry ends the wait early."""
+        await asyncio.sleep(URGENT_PERIOD_S)
+        if self.is_urgent():
+            return
+        rest_s = SYNC_PERIOD_S * self._random.uniform(0.8, 1.0) - URGENT_PERIOD_S
+        try:
+            await asyncio.wait_for(self._hurry.wait(), rest_s)
+        except TimeoutError:
+            return
 
     async def _sync_once(self, link: Link) -> None:
         asked_at = self.now()
@@ -187,6 +213,7 @@
         for published in reply.documents:
             self.view.offer(published)
         self.membership.record(reply, asked_at)
+        self.take_reply(reply)
 
     async def _watch(self, key: str) -> None:
         while True:
