--- a/src/anvilhoist/bench/demo.py
+++ b/src/anvilhoist/bench/demo.py
@@ -9,7 +9,7 @@
 
 from .caller import Caller, Reply
 from .fleet import Fleet
-from .topology import HOST, GroupKind, Topology, make_plan, write_config, write_vms
+from .topology import GroupKind, Topology, make_plan, write_config, write_vms
 
 BASE_PORT = 21000
 QUERY_PERIOD_S = 0.05
@@ -51,7 +51,7 @@
     """
     plan = make_plan(TOPOLOGY, BASE_PORT)
     fleet = Fleet(plan)
-    caller = Caller(tuple(f"{HOST}:{port}" for port in plan.entries))
+    caller = Caller(plan.entry_addresses)
     good = False
     try:
         print("starting: platform, upstreams in three data centres, four entry VMs")
--- a/src/anvilhoist/bench/fleet.py
+++ b/src/anvilhoist/bench/fleet.py
@@ -79,19 +79,23 @@
 
     def start_dispatch(self, number: int) -> None:
         """Start the dispatch process of one entry VM."""
-        self._start_role("dispatch", number, self.plan.dispatches[number])
+        self._start_role("dispatch", number, self.plan.dispatch_address(number))
 
     def start_entry(self, number: int) -> None:
         """Start the entry process of one entry VM."""
-        self._start_role("entry", number, self.plan.entries[number])
+        self._start_role("entry", number, self.plan.entry_address(number))
 
     async def wait_ready(self) -> None:
         """Wait until every process of the tier can serve."""
-        for role, ports in self._ports_by_role():
-            for port in ports:
-                await self.wait_for(
-                    lambda port=port: self._is_ready(port), f"{role} on port {port}"
-                )
+        for address in self.addresses:
+            await self.wait_for(lambda at=address: self.is_ready(at), address)
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses of all processes of the tier, dispatch processes first."""
+        numbers = range(len(self.plan.entries))
+        dispatches = tuple(self.plan.dispatch_address(item) for item in numbers)
+        return dispatches + self.plan.entry_addresses
 
     async def wait_for(
         self, probe: Callable[[], Any], what: str, timeout: float = READY_TIMEOUT_S
@@ -149,9 +153,9 @@
                 found.append(await reply.json())
         return found
 
-    async def read_operations(self, port: int, path: str) -> str:
+    async def read_operations(self, address: str, path: str) -> str:
         """Read one of the operators' paths of a process."""
-        url = f"http://{HOST}:{port}{path}"
+        url = f"http://{address}{path}"
         timeout = aiohttp.ClientTimeout(total=1.0)
         async with self._session.get(url, timeout=timeout) as reply:
             return await reply.text()
@@ -203,9 +207,9 @@
                 self.exit_codes[name] = code
         return killed
 
-    def _start_role(self, role: str, number: int, port: int) -> None:
+    def _start_role(self, role: str, number: int, listen: str) -> None:
         name = f"{self.plan.vm_names[number]}-{role}"
-        path = self._write(name, write_process(self.plan, number, port))
+        path = self._write(name, write_process(self.plan, number, listen))
         self._spawn(name, role, "--settings", path)
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
@@ -224,9 +228,6 @@
         """Log of a process so far."""
         return (self.folder / f"{name}.log").read_text(encoding="utf-8")
 
-    def _ports_by_role(self) -> tuple[tuple[str, tuple[int, ...]], ...]:
-        return (("dispatch", self.plan.dispatches), ("entry", self.plan.entries))
-
     async def _platform_answers(self) -> bool:
         try:
             await self.count_platform_calls()
@@ -234,8 +235,9 @@
             return False
         return True
 
-    async def _is_ready(self, port: int) -> bool:
+    async def is_ready(self, address: str) -> bool:
+        """Whether a process says that it can serve."""
         try:
-            return "true" in await self.read_operations(port, "/readyz")
+            return "true" in await self.read_operations(address, "/readyz")
         except (aiohttp.ClientError, TimeoutError):
             return False
--- a/src/anvilhoist/bench/topology.py
+++ b/src/anvilhoist/bench/topology.py
@@ -87,6 +87,8 @@
     ----------
     replicas : dict of str to tuple
         Data centre and port by full replica name.
+    relays : tuple of str
+        Addresses to list in place of the dispatch processes' own, if any.
     """
 
     topology: Topology
@@ -96,12 +98,36 @@
     admins: dict[str, int]
     replicas: dict[str, tuple[str, int]] = field(default_factory=dict)
 
+    relays: tuple[str, ...] = ()
+
+    def entry_address(self, number: int) -> str:
+        """Address of an entry process."""
+        return f"{vm_host(number)}:{self.entries[number]}"
+
+    def dispatch_address(self, number: int) -> str:
+        """Address of a dispatch process itself."""
+        return f"{vm_host(number)}:{self.dispatches[number]}"
+
+    def listed_dispatch(self, number: int) -> str:
+        """Address of a dispatch process as the platform lists it."""
+        return self.relays[number] if self.relays else self.dispatch_address(number)
+
+    @property
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Addresses of all entry processes."""
+        return tuple(self.entry_address(item) for item in range(len(self.entries)))
+
     @property
     def vm_names(self) -> tuple[str, ...]:
         """Slots of the entry VMs."""
         return tuple(f"vm-{number + 1}" for number in range(len(self.entries)))
 
 
+def vm_host(number: int) -> str:
+    """IP number of an entry VM, on loopback."""
+    return f"127.1.0.{number + 1}"
+
+
 def make_plan(topology: Topology, base_port: int) -> Plan:
     """Give every process and replica its port."""
     ports = Ports(base_port)
@@ -170,8 +196,8 @@
     for number, name in enumerate(plan.vm_names):
         vms[name] = {
             "data_centre": plan.topology.vms[number],
-            "entry": f"{HOST}:{plan.entries[number]}",
-            "dispatch": f"{HOST}:{plan.dispatches[number]}",
+            "entry": plan.entry_address(number),
+            "dispatch": plan.listed_dispatch(number),
             "state": states.get(name, "live"),
         }
     return tomli_w.dumps({"vms": vms})
@@ -264,14 +290,14 @@
     )
 
 
-def write_process(plan: Plan, number: int, port: int) -> str:
+def write_process(plan: Plan, number: int, listen: str) -> str:
     """Settings of one process of the tier."""
     return tomli_w.dumps(
         {
             "vm": plan.vm_names[number],
             "data_centre": plan.topology.vms[number],
-            "listen": f"{HOST}:{port}",
+            "listen": listen,
             "platform": [f"{HOST}:{plan.platform[number]}"],
-            "peers": [f"{HOST}:{item}" for item in plan.dispatches],
+            "peers": [plan.listed_dispatch(item) for item in range(len(plan.entries))],
         }
     )
--- a/src/anvilhoist/bench/upstreams.py
+++ b/src/anvilhoist/bench/upstreams.py
@@ -110,6 +110,7 @@
     over_bound: int = 0
     received: int = 0
     lies: bool = False
+    is_listening: bool = True
     connections_peak: int = 0
     gone_versions: set[int] = field(default_factory=set)
     connections: weakref.WeakSet = field(default_factory=weakref.WeakSet)
@@ -132,6 +133,7 @@
         if quiet:
             return
         self.run += 1
+        self.at_work = 0
         for transport in list(self.connections):
             transport.abort()
 
@@ -196,8 +198,12 @@
 ) -> tuple[int, ReplicaState]:
     """Do one piece of work and give its status."""
     replica = upstreams.find(request)
+    if not replica.is_listening:
+        request.transport.abort()
+        return 503, replica
     attempt = request.headers["x-attempt"]
     extra_s = _connection_delay(replica, request) + _distance(upstreams, request)
+    run = replica.run
     replica.at_work += 1
     replica.received += 1
     replica.peak = max(replica.peak, replica.at_work)
@@ -211,7 +217,8 @@
         deadline_s = int(request.headers["x-deadline-ms"]) / 1000
         return await _serve(upstreams, cancelled, extra_s, deadline_s), replica
     finally:
-        replica.at_work -= 1
+        if replica.run == run:
+            replica.at_work -= 1
         upstreams.attempts.pop(attempt, None)
 
 
@@ -299,6 +306,7 @@
 
 def build_admin(upstreams: Upstreams) -> web.Application:
     """Build the application that experiments drive the stand-in with."""
+    settings = upstreams.settings
     by_name = {state.name: state for state in upstreams.replicas.values()}
 
     async def restart(request: web.Request) -> web.Response:
@@ -310,15 +318,10 @@
     async def stop(request: web.Request) -> web.Response:
         for state in _select(by_name, request):
             await state.site.stop()
+            state.is_listening = False
             state.restart(quiet=False)
         return web.Response()
 
-    async def start(request: web.Request) -> web.Response:
-        for state in _select(by_name, request):
-            state.restart(quiet=False)
-            state.site = await _listen(upstreams.runner, state.settings.port)
-        return web.Response()
-
     async def gone(request: web.Request) -> web.Response:
         for state in _select(by_name, request):
             state.gone_versions.add(int(request.query["version"]))
@@ -334,6 +337,18 @@
             upstreams.lose_answers = query["lose_answers"] == "1"
         return web.Response()
 
+    async def heal(_request: web.Request) -> web.Response:
+        upstreams.service_factor = 1.0
+        upstreams.straggler_share = settings.straggler_share
+        upstreams.lose_answers = False
+        for state in by_name.values():
+            state.gone_versions.clear()
+            if not state.is_listening:
+                state.restart(quiet=False)
+                state.site = await _listen(upstreams.runner, state.settings.port)
+                state.is_listening = True
+        return web.Response()
+
     async def reset(_request: web.Request) -> web.Response:
         upstreams.arrivals.clear()
         for state in by_name.values():
@@ -352,7 +367,7 @@
     app = web.Application()
     app.router.add_post("/restart", restart)
     app.router.add_post("/stop", stop)
-    app.router.add_post("/start", start)
+    app.router.add_post("/heal", heal)
     app.router.add_post("/gone", gone)
     app.router.add_post("/tune", tune)
     app.router.add_post("/reset", reset)
--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/dispatch.py
@@ -41,7 +41,7 @@
 from .settings import ProcessSettings, read_settings
 from .sync import Links, Synchroniser
 from .tasks import start_task
-from .tickets import Ticket, TicketBook
+from .tickets import State, Ticket, TicketBook
 from .upstream import Attempt, BookAsk, SearchAsk
 from .view import View
 
@@ -129,8 +129,8 @@
             now,
         )
         self.tickets = TicketBook(settings.vm, self.incarnation, now)
-        self.links = Links(self.incarnation)
-        self.platform = PlatformClient(settings.platform, now)
+        self.links = Links(self.incarnation, settings.host)
+        self.platform = PlatformClient(settings.platform, settings.host, now)
         self.synchroniser = Synchroniser(
             settings,
             "dispatch",
@@ -372,7 +372,7 @@
         if found.is_error():
             return found
         ticket = found.ok
-        if ticket.profile != book.profile:
+        if ticket.state is State.OPEN and ticket.profile != book.profile:
             return Error(Failure(Kind.TICKET_MISUSED, f"it is for {ticket.profile}"))
         spent = self.tickets.spend(ticket, book.payload)
         if spent.is_error():
--- a/src/anvilhoist/entry.py
+++ b/src/anvilhoist/entry.py
@@ -71,8 +71,8 @@
         self.membership = Membership(settings.vm, self.view, now)
         self.log = DecisionLog(settings.vm, "entry", now)
         self.metrics = Metrics(settings.vm, "entry")
-        self.links = Links(new_incarnation())
-        self.platform = PlatformClient(settings.platform, now)
+        self.links = Links(new_incarnation(), settings.host)
+        self.platform = PlatformClient(settings.platform, settings.host, now)
         self.synchroniser = Synchroniser(
             settings,
             "entry",
@@ -175,11 +175,12 @@
         return self._refuse(failure, request_id)
 
     async def book(self, call: BookingCall, request_id: str) -> Result[str, Failure]:
-        """Run the booking of a ticket at its issuer, or tell its outcome."""
-        admitted = self._admit(call.service, "booking")
-        if admitted.is_error():
-            return self._refuse(admitted.error, request_id)
-        name, profile = admitted.ok
+        """Run the booking of a ticket at its issuer, or tell its outcome.
+
+        Whether the ticket was used before, only its issuer knows. So nothing that
+        is known here is a reason to say that it was not run.
+        """
+        name, profile = self._find_booking_profile(call.service)
         budget_s = _choose_deadline(profile, call.deadline_ms)
         book = Book(request_id, name, call.ticket, call.payload, budget_s)
         result = await self._ask_issuer(call.ticket, book, budget_s, request_id)
@@ -240,6 +241,14 @@
             return Error(Failure(Kind.WRONG_PROFILE, detail))
         return Ok((listed.profile, profile))
 
+    def _find_booking_profile(self, service: str) -> tuple[str, Profile | None]:
+        """Profile of a service, empty where the view has none."""
+        config = self.view.config
+        listed = None if config is None else config.services.get(service)
+        if listed is None:
+            return "", None
+        return listed.profile, config.profiles[listed.profile]
+
     def _refuse(self, failure: Failure, request_id: str) -> Result:
         self.metrics.count("refusals", failure.kind.value)
         self.log.decide("refuse", failure.kind.value, failure.detail, request_id)
@@ -307,8 +316,9 @@
         return Ok(reply.value)
 
 
-def _choose_deadline(profile: Profile, asked_ms: int | None) -> float:
-    return min(asked_ms or profile.deadline_ms, profile.deadline_ms) / 1000
+def _choose_deadline(profile: Profile | None, asked_ms: int | None) -> float:
+    longest_ms = DEADLINE_MAX_MS if profile is None else profile.deadline_ms
+    return min(asked_ms or longest_ms, longest_ms) / 1000
 
 
 async def run_entry(settings: ProcessSettings) -> int:
--- a/src/anvilhoist/gate.py
+++ b/src/anvilhoist/gate.py
@@ -52,6 +52,7 @@
     check: Callable[[], Failure | None]
     tell: Tell
     at_work: int = 0
+    begun: int = 0
     peak: int = 0
     _queue: deque[_Waiter] = field(default_factory=deque)
     _warm: bool = False
@@ -107,9 +108,29 @@
             return Error(Failure(Kind.QUEUE_FULL, f"{len(self._queue)} waiting"))
         return await self._wait(deadline)
 
-    def leave(self) -> None:
-        """Give a slot back and pass it on."""
+    def begin(self) -> Failure | None:
+        """Count work whose first byte goes out now, unless the limit fell.
+
+        Returns
+        -------
+        Failure or None
+            Why nothing may be sent.
+        """
+        if self.begun >= self.limit:
+            return Failure(Kind.QUEUE_FULL, "the replica turned cold meanwhile")
+        self.begun += 1
+        return None
+
+    def leave(self, has_begun: bool) -> None:
+        """Give a slot back and pass it on.
+
+        Parameters
+        ----------
+        has_begun : bool
+            Whether anything was sent.
+        """
         self.at_work -= 1
+        self.begun -= has_begun
         self.pump()
 
     def pump(self) -> None:
@@ -157,6 +178,10 @@
             self._warm = True
             self.tell("warm", f"no fault for {ramp_s:.3f} s")
 
+    def note_unproven(self) -> None:
+        """Trust in no more than a cold replica until the known run answers."""
+        self._last_success_at = None
+
     def adopt(self, incarnation: str, ramp_age_s: float) -> None:
         """Take over what an earlier owner knew of the replica's run.
 
@@ -240,7 +265,7 @@
     def _forget(self, waiter: _Waiter) -> None:
         granted = waiter.granted
         if granted.done() and not granted.cancelled() and granted.result().is_ok():
-            self.leave()
+            self.leave(has_begun=False)
         elif waiter in self._queue:
             self._queue.remove(waiter)
 
--- a/src/anvilhoist/link.py
+++ b/src/anvilhoist/link.py
@@ -97,10 +97,13 @@
         IP number and port of the peer.
     incarnation : int
         Incarnation of this process.
+    source : str
+        IP number of this process, which connections come from.
     """
 
     address: str
     incarnation: int
+    source: str
     dropped: int = 0
     _next_number: int = 0
     _outbox: Outbox | None = None
@@ -216,6 +219,7 @@
             open_timeout=OPEN_TIMEOUT_S,
             ping_interval=None,
             proxy=None,
+            local_addr=(self.source, 0),
         ) as connection:
             outbox = Outbox(connection.send)
             sender = start_task(outbox.run())
--- a/src/anvilhoist/platform.py
+++ b/src/anvilhoist/platform.py
@@ -62,11 +62,14 @@
     ----------
     addresses : tuple of str
         Addresses of the service, tried in turn after a failure.
+    source : str
+        IP number of this process, which connections come from.
     now : callable
         Clock, in seconds.
     """
 
     addresses: tuple[str, ...]
+    source: str
     now: Callable[[], float]
     calls: int = 0
     _turn: int = 0
@@ -110,5 +113,6 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            connector = aiohttp.TCPConnector(local_addr=(self.source, 0))
+            self._session = aiohttp.ClientSession(connector=connector)
         return self._session
--- a/src/anvilhoist/replicas.py
+++ b/src/anvilhoist/replicas.py
@@ -190,7 +190,7 @@
         try:
             result = await exchange
         finally:
-            station.gate.leave()
+            station.gate.leave(has_begun=attempt.sent)
         service_s = self.now() - began if attempt.sent else 0.0
         self._note(station, result, service_s)
         return Served(result, service_s)
@@ -211,7 +211,10 @@
         self._attempts += 1
         self.metrics.count("attempts")
         name = f"{self.prefix}-{self._attempts}"
-        return Attempt(name, deadline, lambda: self.check(station.name))
+        return Attempt(name, deadline, lambda: self._check_first_byte(station))
+
+    def _check_first_byte(self, station: Station) -> Failure | None:
+        return self.check(station.name) or station.gate.begin()
 
     def _check_service(self, name: str) -> Failure | None:
         directory, config = self.view.directory, self.view.config
@@ -236,7 +239,11 @@
             tell=lambda event, reason: self.log.decide(event, name, reason),
         )
         client = UpstreamClient(
-            replica.address, self.data_centre, group.connections, self.now
+            replica.address,
+            self.data_centre,
+            group.connections,
+            self.now,
+            gate.note_unproven,
         )
         self._stations[name] = Station(name, group, replica, gate, client)
 
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -41,16 +41,19 @@
     ----------
     incarnation : int
         Incarnation of this process.
+    source : str
+        IP number of this process, which connections come from.
     """
 
     incarnation: int
+    source: str
     _links: dict[str, Link] = field(default_factory=dict)
 
     def get(self, address: str) -> Link:
         """Link to an address, started if it is new."""
         link = self._links.get(address)
         if link is None:
-            link = Link(address, self.incarnation)
+            link = Link(address, self.incarnation, self.source)
             link.start()
             self._links[address] = link
         return link
--- a/src/anvilhoist/upstream.py
+++ b/src/anvilhoist/upstream.py
@@ -23,7 +23,7 @@
 
 ANSWER_GRACE_S = 0.05
 CANCEL_TIMEOUT_S = 0.1
-KEEPALIVE_S = 30.0
+KEEPALIVE_S = 3600.0
 ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
 
 _KINDS = {
@@ -167,12 +167,18 @@
         Most connections that the replica accepts.
     now : callable
         Clock, in seconds.
+    note_closed : callable
+        Called when a kept connection turns out to have been closed, which may
+        mean that the replica was started anew.
     """
 
     address: str
     data_centre: str
     connections: int
     now: Callable[[], float]
+    note_closed: Callable[[], None]
+    _exchanges: int = 0
+    _open_connections: int = 0
     _session: aiohttp.ClientSession | None = field(default=None)
 
     async def search(self, ask: SearchAsk, attempt: Attempt) -> Result[Part, Failure]:
@@ -198,13 +204,16 @@
         """Tell the upstream that an attempt's answer is no longer wanted."""
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
         url = f"http://{self.address}/cancel"
+        self._exchanges += 1
         try:
             async with self._open().post(
                 url, json={"attempt": name}, timeout=timeout, allow_redirects=False
             ) as reply:
                 await reply.read()
         except (aiohttp.ClientError, TimeoutError):
-            return
+            self._count_closed()
+        finally:
+            self._exchanges -= 1
 
     async def close(self) -> None:
         """Close the connections."""
@@ -223,6 +232,7 @@
             "x-attempt": attempt.name,
             "x-from": self.data_centre,
         }
+        self._exchanges += 1
         try:
             async with self._open().post(
                 f"http://{self.address}{path}",
@@ -237,12 +247,15 @@
         except aiohttp.ClientError as error:
             detail = type(error).__name__
             return Error(self._explain(attempt, Kind.UPSTREAM_FAILED, detail))
+        finally:
+            self._exchanges -= 1
 
     def _explain(self, attempt: Attempt, kind: Kind, detail: str) -> Failure:
         if attempt.forbidden is not None:
             return attempt.forbidden
         if not attempt.sent:
             return Failure(Kind.CONNECT_FAILED, f"{self.address}: {detail}")
+        self._count_closed()
         return Failure(kind, f"{self.address}: {detail}")
 
     def _read(self, status: int, body: bytes, model: TypeAdapter) -> Result:
@@ -257,10 +270,30 @@
             detail = f"{self.address}: the answer is not what was asked for"
             return Error(Failure(Kind.UPSTREAM_FAILED, detail))
 
+    def _count_closed(self) -> None:
+        self._open_connections = max(self._open_connections - 1, 0)
+
+    async def _on_connect(self, _session, _context, _params) -> None:
+        """See whether a kept connection should have been there instead."""
+        if self._exchanges <= self._open_connections:
+            self._open_connections = 0
+            self.note_closed()
+
+    async def _on_connected(self, _session, _context, _params) -> None:
+        self._open_connections += 1
+
+    def _trace(self) -> aiohttp.TraceConfig:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_start.append(self._on_connect)
+        trace.on_connection_create_end.append(self._on_connected)
+        return trace
+
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
             connector = aiohttp.TCPConnector(
                 limit=self.connections, keepalive_timeout=KEEPALIVE_S
             )
-            self._session = aiohttp.ClientSession(connector=connector)
+            self._session = aiohttp.ClientSession(
+                connector=connector, trace_configs=[self._trace()]
+            )
         return self._session
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,5 @@
 from __future__ import annotations
 
-import asyncio
 import os
 from collections.abc import Iterator
 
@@ -21,10 +20,9 @@
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[FleetRunner]:
     """A small fleet of real processes, started once for a module."""
-    with asyncio.Runner() as loop:
-        runner = FleetRunner(loop, next(_given_out))
-        try:
-            runner.start()
-            yield runner
-        finally:
-            runner.stop()
+    runner = FleetRunner(next(_given_out))
+    try:
+        runner.start()
+        yield runner
+    finally:
+        runner.stop()
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -109,10 +109,10 @@
             assert shared == [], name
 
     def test_health_readiness_and_metrics(self, fleet: FleetRunner):
-        for port in (*fleet.fleet.plan.entries, *fleet.fleet.plan.dispatches):
-            health = fleet.run(fleet.fleet.read_operations(port, "/healthz"))
+        for address in fleet.fleet.addresses:
+            health = fleet.run(fleet.fleet.read_operations(address, "/healthz"))
             assert health == "ok\n"
-            metrics = fleet.run(fleet.fleet.read_operations(port, "/metrics"))
+            metrics = fleet.run(fleet.fleet.read_operations(address, "/metrics"))
             assert "anvilhoist_documents_accepted" in metrics
 
 
