Experiment tool with baselines; a fleet of one VM can own its replicas

Cause: the baseline of limits held by each node alone never became ready. With one VM in the cell the acknowledgement of the list of VMs was dated anew at each look, so the wait after it never ended: a deployment of one VM served nothing.

Ruled out: the reading of the platform (documents were accepted at once).

Change: the acknowledgement is dated by the list's acceptance at the latest.

--- a/src/anvilhoist/balance.py
+++ b/src/anvilhoist/balance.py
@@ -53,6 +53,7 @@
     now: Callable[[], float]
     random: np.random.Generator
     _measured: dict[str, Measured] = field(default_factory=dict)
+    _turn: int = 0
 
     def measured(self, replica: str) -> Measured:
         """Measurements of one replica."""
@@ -101,6 +102,14 @@
             return names[int(self.random.integers(2))]
         return first if cost_first < cost_second else second
 
+    def take_turns(self, replicas: Iterable[str]) -> str | None:
+        """Next of some replicas in turn, whatever their load."""
+        names = list(replicas)
+        if not names:
+            return None
+        self._turn += 1
+        return names[self._turn % len(names)]
+
     def cost(self, replica: str) -> float:
         """Expected time to an answer, in seconds, for comparison only."""
         found = self.measured(replica)
--- a/src/anvilhoist/bench/command.py
+++ b/src/anvilhoist/bench/command.py
@@ -11,9 +11,28 @@
     return run_demo
 
 
+def experiment(path: str, reports: str = "reports"):
+    """Run an experiment and write its report.
+
+    Parameters
+    ----------
+    path : str
+        Experiment file.
+    reports : str
+        Folder for the report.
+    """
+
+    async def run() -> int:
+        from .experiment import run_experiment
+
+        return await run_experiment(str(path), str(reports))
+
+    return run
+
+
 def main() -> None:
     """Run the binary."""
-    run_binary("anvilhoist-bench", {"demo": demo})
+    run_binary("anvilhoist-bench", {"demo": demo, "experiment": experiment})
 
 
 if __name__ == "__main__":
--- a/src/anvilhoist/bench/fleet.py
+++ b/src/anvilhoist/bench/fleet.py
@@ -46,6 +46,7 @@
     plan: Plan
     folder: Path = field(init=False)
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    alone: bool = False
     exit_codes: dict[str, int] = field(default_factory=dict)
     _scratch: tempfile.TemporaryDirectory = field(
         default_factory=lambda: tempfile.TemporaryDirectory(prefix="anvilhoist-")
@@ -55,8 +56,16 @@
     def __post_init__(self):
         self.folder = Path(self._scratch.name)
 
-    async def start(self, **config: Any) -> None:
-        """Start the stand-ins and the tier, and publish the documents."""
+    async def start(self, alone: bool = False, **config: Any) -> None:
+        """Start the stand-ins and the tier, and publish the documents.
+
+        Parameters
+        ----------
+        alone : bool
+            Show each VM a list with no other VM, so that each one owns every
+            replica and holds its limits on its own. It is a baseline.
+        """
+        self.alone = alone
         self._session = aiohttp.ClientSession()
         ports = ",".join(str(port) for port in self.plan.platform)
         self._spawn("platform", "bench.platform", "--ports", ports)
@@ -68,6 +77,8 @@
         await self.wait_for(self._platform_answers, "the platform")
         await self.publish("config", write_config(self.plan, **config))
         await self.publish("vms", write_vms(self.plan))
+        if alone:
+            await self._publish_alone()
         await self.publish("directory", write_directory(self.plan))
         for number in range(len(self.plan.entries)):
             self.start_vm(number)
@@ -120,6 +131,13 @@
         async with self._session.put(url, data=text) as reply:
             return (await reply.json())["revision"]
 
+    async def _publish_alone(self) -> None:
+        for number, port in enumerate(self.plan.platform):
+            url = f"http://{HOST}:{self.plan.platform[0]}/admin/values/vms?port={port}"
+            text = write_vms(self.plan, only=number)
+            async with self._session.put(url, data=text) as reply:
+                reply.raise_for_status()
+
     async def set_platform(self, mode: str, numbers: tuple[int, ...] = ()) -> None:
         """Set how the platform behaves towards some VMs, or towards all."""
         for number in numbers or range(len(self.plan.platform)):
@@ -209,7 +227,7 @@
 
     def _start_role(self, role: str, number: int, listen: str) -> None:
         name = f"{self.plan.vm_names[number]}-{role}"
-        path = self._write(name, write_process(self.plan, number, listen))
+        path = self._write(name, write_process(self.plan, number, listen, self.alone))
         self._spawn(name, role, "--settings", path)
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
--- a/src/anvilhoist/bench/platform.py
+++ b/src/anvilhoist/bench/platform.py
@@ -29,11 +29,18 @@
 
 @dataclass(slots=True)
 class Store:
-    """Values, modes by port and counts of calls."""
+    """Values, modes by port and counts of calls.
+
+    Attributes
+    ----------
+    own : dict
+        Values that only one address shows, by port and key.
+    """
 
     values: dict[str, Value] = field(default_factory=dict)
     modes: dict[int, str] = field(default_factory=dict)
     frozen: dict[int, dict[str, Value]] = field(default_factory=dict)
+    own: dict[tuple[int, str], Value] = field(default_factory=dict)
     calls: Counter[int] = field(default_factory=Counter)
     started_at: float = field(default_factory=time.monotonic)
     changed: asyncio.Condition = field(default_factory=asyncio.Condition)
@@ -56,6 +63,8 @@
 
     def read(self, port: int, key: str) -> Value | None:
         """Value as seen at one address."""
+        if (port, key) in self.own:
+            return self.own[(port, key)]
         if self.modes.get(port) == "stale":
             return self.frozen[port].get(key)
         return self.values.get(key)
@@ -88,7 +97,11 @@
 
     async def publish(request: web.Request) -> web.Response:
         key = request.match_info["key"]
-        revision = await store.publish(key, await request.text())
+        text = await request.text()
+        if "port" in request.query:
+            store.own[(int(request.query["port"]), key)] = Value(1, text)
+            return web.json_response({"revision": 1})
+        revision = await store.publish(key, text)
         return web.json_response({"revision": revision})
 
     async def set_mode(request: web.Request) -> web.Response:
--- a/src/anvilhoist/documents.py
+++ b/src/anvilhoist/documents.py
@@ -45,6 +45,8 @@
         Longest deadline and the one used where a caller names none.
     coverage_floor : float
         Least share of shards that still counts as an answer.
+    choice : {"least_loaded", "round_robin"}
+        How a replica is chosen among those of a shard.
     hedge : bool
         Whether a late sub-request is sent to a second replica.
     hedge_quantile : float
@@ -63,6 +65,7 @@
     target: Name
     deadline_ms: Deadline
     coverage_floor: Fraction = 1.0
+    choice: Literal["least_loaded", "round_robin"] = "least_loaded"
     hedge: bool = True
     hedge_quantile: Annotated[float, Field(ge=0.5, lt=1.0)] = 0.97
     hedge_budget: Fraction = 0.035
--- a/src/anvilhoist/membership.py
+++ b/src/anvilhoist/membership.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from .documents import DEADLINE_MAX_MS, KEYS, Vms
+from .documents import DEADLINE_MAX_MS, KEYS, VMS, Vms
 from .messages import SyncReply
 from .view import View
 
@@ -175,8 +175,8 @@
         float or None
             Clock reading, or None while too few acknowledged it.
         """
-        cell = self.cell()
-        if not cell:
+        cell, held = self.cell(), self.view.held(VMS)
+        if not cell or held is None:
             return None
         needed = len(cell) // 2
         heard = sorted(
@@ -188,7 +188,7 @@
         )
         if len(heard) < needed:
             return None
-        return heard[needed - 1] if needed else self.now()
+        return max([held.accepted_at, *heard[:needed]])
 
     def has_joined(self) -> bool:
         """Whether enough of the cell was heard since the start.
--- a/src/anvilhoist/search.py
+++ b/src/anvilhoist/search.py
@@ -427,7 +427,7 @@
         chosen = []
         for shard in shards:
             shard.retry_at = None
-            replica = self.routing.balancer.choose(self._choices(shard, shard.tried))
+            replica = self._choose(self._choices(shard, shard.tried))
             if replica is None:
                 self._postpone(shard)
                 continue
@@ -441,6 +441,11 @@
         for address, items in batches.items():
             self._send_batch(self.routing.links.get(address), items)
 
+    def _choose(self, replicas: list[str]) -> str | None:
+        if self.profile.choice == "round_robin":
+            return self.routing.balancer.take_turns(replicas)
+        return self.routing.balancer.choose(replicas)
+
     def _postpone(self, shard: _Shard) -> None:
         if shard.gone and not self._choices(shard, set()):
             shard.failed = True
