--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test bench clean
+.PHONY: setup run test bench capacity clean
 
 setup: $(VENV)/.ready
 
@@ -24,5 +24,8 @@
 	$(BIN)/anvilhoist-bench experiment experiments/kritcirkeln.toml
 	$(BIN)/anvilhoist-bench experiment experiments/umutekano.toml
 
+capacity: setup
+	$(BIN)/anvilhoist-bench capacity
+
 clean:
 	rm -rf $(VENV) reports
--- a/src/anvilhoist/bench/command.py
+++ b/src/anvilhoist/bench/command.py
@@ -30,9 +30,21 @@
     return run
 
 
+def capacity():
+    """Measure the slopes behind the capacity page."""
+
+    async def run() -> int:
+        from .capacity import measure_capacity
+
+        return await measure_capacity()
+
+    return run
+
+
 def main() -> None:
     """Run the binary."""
-    run_binary("anvilhoist-bench", {"demo": demo, "experiment": experiment})
+    commands = {"demo": demo, "experiment": experiment, "capacity": capacity}
+    run_binary("anvilhoist-bench", commands)
 
 
 if __name__ == "__main__":
--- a/src/anvilhoist/bench/topology.py
+++ b/src/anvilhoist/bench/topology.py
@@ -43,6 +43,8 @@
     ----------
     vms : tuple of str
         Data centre of each entry VM.
+    cell_size : int
+        VMs in one cell.
     shards : dict of str to int
         Shards of each index; an index is spread over the groups of its name,
         or over all search groups if it is called "all".
@@ -54,6 +56,7 @@
     vms: tuple[Name, ...]
     kinds: dict[Name, GroupKind]
     shards: dict[Name, int]
+    cell_size: int = 1000
     one_way_ms: float = 1.0
     cold_slots: int = 1
     cold_ms: int = 1500
@@ -202,6 +205,7 @@
             "data_centre": plan.topology.vms[number],
             "entry": plan.entry_address(number),
             "dispatch": plan.listed_dispatch(number),
+            "cell": f"c{number // plan.topology.cell_size}",
             "state": states.get(name, "live"),
         }
     return tomli_w.dumps({"vms": vms})
--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/dispatch.py
@@ -238,7 +238,9 @@
     def respond(path: str) -> HttpAnswer | None:
         return answer_operator(path, dispatch)
 
-    server = await serve_links(settings.host, settings.port, dispatch.handle, respond)
+    server = await serve_links(
+        settings.host, settings.port, dispatch.handle, respond, dispatch.links.traffic
+    )
     dispatch.synchroniser.start()
     dispatch.log.decide("start", settings.vm, f"listening on {settings.listen}")
     signal_name = await wait_for_stop()
--- a/src/anvilhoist/link.py
+++ b/src/anvilhoist/link.py
@@ -55,11 +55,20 @@
     """The link was down before anything was sent."""
 
 
+@dataclass(slots=True)
+class Traffic:
+    """Payload bytes of all links of a process, both ways."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
 @dataclass(slots=True)
 class Outbox:
     """Frames waiting for one connection, sent in order by one task."""
 
     send: Callable[[bytes], Awaitable[None]]
+    traffic: Traffic
     _frames: asyncio.Queue[Frame] = field(
         default_factory=lambda: asyncio.Queue(QUEUE_LIMIT_FRAMES * 16)
     )
@@ -82,7 +91,9 @@
         while True:
             frame = await self._frames.get()
             try:
-                await self.send(encode_frame(frame))
+                data = encode_frame(frame)
+                self.traffic.sent_bytes += len(data)
+                await self.send(data)
             except ConnectionClosed:
                 return
 
@@ -104,6 +115,7 @@
     address: str
     incarnation: int
     source: str
+    traffic: Traffic
     dropped: int = 0
     _next_number: int = 0
     _outbox: Outbox | None = None
@@ -221,7 +233,7 @@
             proxy=None,
             local_addr=(self.source, 0),
         ) as connection:
-            outbox = Outbox(connection.send)
+            outbox = Outbox(connection.send, self.traffic)
             sender = start_task(outbox.run())
             self._outbox = outbox
             try:
@@ -231,6 +243,7 @@
                 sender.cancel()
 
     def _read(self, data: bytes | str) -> None:
+        self.traffic.received_bytes += len(data)
         try:
             frame = decode_frame(data)
         except DecodeError:
@@ -251,7 +264,9 @@
             lose()
 
 
-async def serve_links(host: str, port: int, handle: Handle, respond: Respond) -> Server:
+async def serve_links(
+    host: str, port: int, handle: Handle, respond: Respond, traffic: Traffic
+) -> Server:
     """Serve links of other processes.
 
     Parameters
@@ -266,6 +281,8 @@
     respond : callable
         Gives the answer to a plain HTTP request for a path, or None where the
         request opens a link.
+    traffic : Traffic
+        Counts what goes over the connections.
 
     Returns
     -------
@@ -274,10 +291,11 @@
     """
 
     async def run_connection(connection: ServerConnection) -> None:
-        outbox = Outbox(connection.send)
+        outbox = Outbox(connection.send, traffic)
         sender = start_task(outbox.run())
         try:
             async for data in connection:
+                traffic.received_bytes += len(data)
                 frame = decode_frame(data)
                 handle(frame, _make_reply(outbox, frame))
         except (ConnectionClosed, DecodeError):
--- a/src/anvilhoist/operations.py
+++ b/src/anvilhoist/operations.py
@@ -14,6 +14,7 @@
 from .documents import KEYS
 from .link import HttpAnswer
 from .metrics import Metrics
+from .sync import Links
 from .view import View
 
 
@@ -23,6 +24,7 @@
     view: View
     log: DecisionLog
     metrics: Metrics
+    links: Links
 
     def is_ready(self) -> bool:
         """Whether the process can serve."""
@@ -72,6 +74,8 @@
     ready: bool
     documents: tuple[DocumentState, ...]
     platform_age_s: float
+    sent_bytes: int
+    received_bytes: int
     replicas: tuple[ReplicaState, ...]
 
 
@@ -104,6 +108,8 @@
         ready=process.is_ready(),
         documents=tuple(_describe_document(view, key) for key in KEYS),
         platform_age_s=-1.0 if confirmed_at is None else view.now() - confirmed_at,
+        sent_bytes=process.links.traffic.sent_bytes,
+        received_bytes=process.links.traffic.received_bytes,
         replicas=process.list_replicas(),
     )
 
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -14,7 +14,7 @@
 
 from .decisions import DecisionLog
 from .documents import KEYS
-from .link import Link, PeerLostError, PeerUnreachedError
+from .link import Link, PeerLostError, PeerUnreachedError, Traffic
 from .membership import SYNC_PERIOD_S, Membership, list_cell
 from .messages import Handed, Sync, SyncReply
 from .metrics import Metrics
@@ -48,13 +48,14 @@
 
     incarnation: int
     source: str
+    traffic: Traffic = field(default_factory=Traffic)
     _links: dict[str, Link] = field(default_factory=dict)
 
     def get(self, address: str) -> Link:
         """Link to an address, started if it is new."""
         link = self._links.get(address)
         if link is None:
-            link = Link(address, self.incarnation, self.source)
+            link = Link(address, self.incarnation, self.source, self.traffic)
             link.start()
             self._links[address] = link
         return link
