--- a/src/anvilhoist/query.py
+++ b/src/anvilhoist/query.py
@@ -17,7 +17,7 @@
 from .messages import Cancel, Message, SubBatch, SubReplies, SubReply, SubRequest
 from .routing import ProfileState, Routing
 
-RETRY_PAUSE_S = 0.02
+RETRY_PAUSE_S = 0.005
 ANSWER_MARGIN_S = 0.005
 DETOURS_LIMIT = 4
 
