--- a/src/anvilhoist/process.py
+++ b/src/anvilhoist/process.py
@@ -81,7 +81,7 @@
         component = {key: keep(function) for key, function in commands.items()}
     fire.core.Display = _display
     try:
-        fire.Fire(component, command=list(arguments), name=name, serialize=_serialize)
+        fire.Fire(component, command=list(arguments), name=name)
     except fire.core.FireExit as error:
         if error.code == 0:
             raise SystemExit(0) from None
@@ -148,7 +148,3 @@
 
 def _display(lines: Sequence[str], out) -> None:
     print("\n".join(lines), file=out)
-
-
-def _serialize(_result: object) -> str:
-    return ""
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -112,9 +112,11 @@
     _tasks: list[asyncio.Task] = field(default_factory=list)
     _random: np.random.Generator = field(default_factory=np.random.default_rng)
 
+    def __post_init__(self):
+        self.view.listen(self._on_document)
+
     def start(self) -> None:
         """Start the tasks."""
-        self.view.listen(self._on_document)
         self._tasks = [start_task(self._keep_peers())]
         if self.watches:
             self._tasks += [start_task(self._watch(key)) for key in KEYS]
