Try all replicas again when one owner changes as the other's data centre leaves

A shard whose one replica was refused with not_ready and whose other one then with out_of_service was given up at once, as only the last refusal was looked at.

Ruled out: lost replies and deadlines (every sub-request was answered), and the shorter pause (given up without any).

Change: a shard remembers the refusals of its round; one that passes by itself, a changing owner or a data centre that the entry doesn't yet know to be out, lets all replicas be tried again in 5 ms.

--- a/src/anvilhoist/query.py
+++ b/src/anvilhoist/query.py
@@ -33,7 +33,8 @@
         Kind.CONNECT_FAILED,
     }
 )
-WORTH_WAITING = frozenset({Kind.NOT_OWNER, Kind.NOT_READY, Kind.VIEW_STALE})
+OWNER_CHANGES = frozenset({Kind.NOT_OWNER, Kind.NOT_READY, Kind.VIEW_STALE})
+WORTH_WAITING = OWNER_CHANGES | {Kind.OUT_OF_SERVICE, Kind.SHUTTING_DOWN}
 
 
 @dataclass(slots=True)
@@ -57,6 +58,7 @@
     tried: set[str] = field(default_factory=set)
     tries: list[_Try] = field(default_factory=list)
     gone: set[str] = field(default_factory=set)
+    failures: set[Kind] = field(default_factory=set)
     detours: int = 0
     hedged: bool = False
     failed: bool = False
@@ -215,7 +217,8 @@
         self._try_again(shard, sent, failure)
 
     def _try_again(self, shard: _Shard, sent: _Try, failure: Failure) -> None:
-        if failure.kind in WORTH_WAITING and shard.detours < DETOURS_LIMIT:
+        shard.failures.add(failure.kind)
+        if failure.kind in OWNER_CHANGES and shard.detours < DETOURS_LIMIT:
             if self.routing.take_detour(sent.replica, sent.link):
                 shard.detours += 1
                 shard.tried.discard(sent.replica)
@@ -224,9 +227,8 @@
         if left and (is_free or self._may_retry()):
             self._send([shard], f"again after {failure.kind.value}")
             return
-        if failure.kind in WORTH_WAITING or not self._choices(shard, set()):
-            shard.retry_at = self.routing.now() + RETRY_PAUSE_S
-            shard.tried.clear()
+        if shard.failures & WORTH_WAITING or not self._choices(shard, set()):
+            self._pause(shard)
             return
         shard.failed = True
 
@@ -311,7 +313,12 @@
             shard.failed = True
             return
         self.merger.note_reason(shard.name, "no replica can be used now")
+        self._pause(shard)
+
+    def _pause(self, shard: _Shard) -> None:
+        """Try all replicas of a shard again in a moment."""
         shard.tried.clear()
+        shard.failures.clear()
         shard.retry_at = self.routing.now() + RETRY_PAUSE_S
 
     def _send_batch(self, link: Link, items: list[tuple[_Shard, str]]) -> None:
--- a/tests/features/decisions/queries.feature
+++ b/tests/features/decisions/queries.feature
@@ -34,7 +34,9 @@
   @invariant_2 @fault_cold_start @step_send
   Scenario: A full replica is passed over for the other one
     Given a query over 4 shards
+    And no retry is allowed
     When sorting-3/r0 says queue_full
+    And sorting-2/r1 says queue_full
     Then the answer covers 4 shards of version 1
 
   @invariant_5 @fault_straggler @step_hedge @step_merge
@@ -50,5 +52,15 @@
   @invariant_5 @fault_partition @step_wait
   Scenario: The link to an owner breaks and the other replicas answer
     Given a query over 4 shards
-    When sorting-0/r0 loses its link
+    When sorting-0/r0 once loses its link
+    Then the answer covers 4 shards of version 1
+
+  @invariant_2 @fault_operators_race @step_send @step_merge
+  Scenario: One replica's owner changes while the other's data centre goes out
+    Given a query over 4 shards
+    And no retry is allowed
+    When sorting-0/r0 once says not_ready
+    And sorting-0/r1 once says out_of_service
+    And sorting-2/r1 once says not_owner
+    And sorting-2/r0 once says out_of_service
     Then the answer covers 4 shards of version 1
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import numpy as np
 import pytest
@@ -41,8 +41,10 @@
         for item in batch.items:
             self.sent.append(item.replica)
             told = self.behaviour.get(item.replica, self.behaviour.get("all", ""))
-            if told == "loses its link":
+            if told.startswith("once "):
                 del self.behaviour[item.replica]
+                told = told.removeprefix("once ")
+            if told == "loses its link":
                 loop.call_soon(lose)
             elif told != "stays silent":
                 reply = self._reply(batch, item, told)
@@ -125,6 +127,11 @@
     state.hedges.earn(1000)
 
 
+@given("no retry is allowed")
+def no_retry(bench: Bench):
+    bench.profile = replace(bench.profile, retry_budget=0.0)
+
+
 @when("every replica says that version 2 is gone")
 def all_gone(bench: Bench):
     bench.link.behaviour["all"] = "says version 2 is gone"
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -27,6 +27,7 @@
     requests: list[bytes] = field(default_factory=list)
     closed: int = 0
     port: int = 0
+    clients: list[UpstreamClient] = field(default_factory=list)
     _server: asyncio.Server | None = None
     _writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
@@ -41,7 +42,9 @@
 
     def client(self, note: Callable[[], None] = lambda: None) -> UpstreamClient:
         address = f"127.0.0.1:{self.port}"
-        return UpstreamClient(address, "vaxjo", 4, read_boottime, note)
+        client = UpstreamClient(address, "vaxjo", 4, read_boottime, note)
+        self.clients.append(client)
+        return client
 
     async def _run(self, reader, writer) -> None:
         self._writers.append(writer)
@@ -63,6 +66,8 @@
         upstream = FakeUpstream(answers)
         await upstream.start()
         await work(upstream)
+        for client in upstream.clients:
+            await client.close()
         return upstream
 
     return asyncio.run(run())
