End tasks that lose a cancellation; one node module for both binaries

The wait with a time-out that we used swallows a cancellation that comes together with the reply it waits for; the task that asks a peer then went on for ever, and so did the wait for its end.

Change: time-outs as context managers, which pass the cancellation on; tasks are cancelled again until they ended. Entry and dispatch share their state, start and stop in node.py; the two had been written twice.

--- a/src/anvilhoist/callers.py
+++ b/src/anvilhoist/callers.py
@@ -122,7 +122,8 @@
 async def read_body(request: Request, model: type[T]) -> Result[T, Failure]:
     """Receive a request's body and validate it."""
     try:
-        received = await asyncio.wait_for(_receive(request), SLOW_SENDER_S)
+        async with asyncio.timeout(SLOW_SENDER_S):
+            received = await _receive(request)
     except TimeoutError:
         return Error(Failure(Kind.TOO_SLOW, "the body didn't come in time"))
     if received.is_error():
--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/dispatch.py
@@ -7,18 +7,17 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
 from expression import Result
+from websockets.asyncio.server import Server
 
 from .bookings import Bookings
 from .clock import TimerService
-from .decisions import DecisionLog, configure_logs
 from .documents import DEADLINE_MAX_MS
 from .errors import Failure
-from .link import HttpAnswer, Reply, new_incarnation, serve_links
-from .membership import Membership
+from .link import HttpAnswer, Reply, serve_links
 from .messages import (
     Book,
     BookingReply,
@@ -30,18 +29,15 @@
     SyncReply,
     TicketAsk,
 )
-from .metrics import Metrics
+from .node import Node, run_node
 from .operations import ReplicaState, answer_operator
 from .ownership import Ownership
-from .platform import PlatformClient
-from .process import close_server, run_binary, wait_for_stop
+from .process import run_binary
 from .replicas import Replicas
 from .settings import ProcessSettings, read_settings
 from .subrequests import SubRequests
-from .sync import Links, Synchroniser
 from .tasks import start_task
 from .tickets import TicketBook
-from .view import View
 
 HANDOVER_LIMIT_S = 5.0
 URGENT_WAIT_S = 2.0
@@ -50,45 +46,27 @@
 
 
 @dataclass(slots=True)
-class Dispatch:
-    """State of one dispatch process.
+class Dispatch(Node):
+    """State of one dispatch process."""
 
-    Parameters
-    ----------
-    settings : ProcessSettings
-        Settings of the process.
-    now : callable
-        Clock, in seconds.
-    """
+    role = "dispatch"
+    watches_platform = True
 
-    settings: ProcessSettings
-    now: Callable[[], float]
-    incarnation: int = field(default_factory=new_incarnation)
-    view: View = field(init=False)
-    membership: Membership = field(init=False)
-    log: DecisionLog = field(init=False)
-    metrics: Metrics = field(init=False)
     ownership: Ownership = field(init=False)
     replicas: Replicas = field(init=False)
     tickets: TicketBook = field(init=False)
-    links: Links = field(init=False)
-    platform: PlatformClient = field(init=False)
-    synchroniser: Synchroniser = field(init=False)
     subrequests: SubRequests = field(init=False)
     bookings: Bookings = field(init=False)
 
     def __post_init__(self):
-        settings, now = self.settings, self.now
-        self.view = View(now)
-        self.membership = Membership(settings.vm, self.view, now)
-        self.log = DecisionLog(settings.vm, "dispatch", now)
-        self.metrics = Metrics(settings.vm, "dispatch")
+        Node.__post_init__(self)
+        settings, now, incarnation = self.settings, self.now, self.links.incarnation
         self.ownership = Ownership(
             settings.vm, self.view, self.membership, now, self._tell_placement
         )
         self.replicas = Replicas(
             settings.data_centre,
-            f"{settings.vm}-{self.incarnation:x}",
+            f"{settings.vm}-{incarnation:x}",
             self.view,
             self.membership,
             self.ownership,
@@ -96,25 +74,9 @@
             self.metrics,
             now,
         )
-        self.tickets = TicketBook(settings.vm, self.incarnation, now)
+        self.tickets = TicketBook(settings.vm, incarnation, now)
         self.subrequests = SubRequests(self.replicas, self.metrics, now)
         self.bookings = Bookings(self.tickets, self.replicas, self.view, self.log, now)
-        self.links = Links(self.incarnation, settings.host)
-        self.platform = PlatformClient(settings.platform, settings.host, now)
-        self.synchroniser = Synchroniser(
-            settings,
-            "dispatch",
-            True,
-            self.view,
-            self.membership,
-            self.links,
-            self.platform,
-            self.log,
-            self.metrics,
-            now,
-            self._take_sync_reply,
-            lambda: self.ownership.has_young_wait(URGENT_WAIT_S),
-        )
         self.view.listen(self._on_document)
 
     def handle(self, frame: Frame, reply: Reply) -> None:
@@ -140,11 +102,9 @@
         self.replicas.tick(now)
         self.tickets.forget_old(now)
 
-    def on_jump(self, gap: float) -> None:
-        """Trust nothing that was confirmed before a pause."""
-        self.membership.void()
-        self.metrics.count("pauses")
-        self.log.decide("pause", self.settings.vm, f"paused for {gap:.3f} s")
+    def is_urgent(self) -> bool:
+        """Whether replicas are waited for that may be handed over soon."""
+        return self.ownership.has_young_wait(URGENT_WAIT_S)
 
     def is_ready(self) -> bool:
         """Whether this process can serve what it owns."""
@@ -170,8 +130,6 @@
 
     async def drain(self) -> None:
         """Hand over, then finish what is in progress."""
-        self.synchroniser.draining = True
-        self.log.decide("drain", self.settings.vm, "asked to stop")
         until = self.now() + HANDOVER_LIMIT_S
         while self._has_to_hand_over() and self.now() < until:
             await asyncio.sleep(DRAIN_POLL_S)
@@ -180,6 +138,11 @@
         while self._is_busy() and self.now() < until:
             await asyncio.sleep(DRAIN_POLL_S)
 
+    async def close(self) -> None:
+        """Close links and connections."""
+        await self.replicas.close()
+        await Node.close(self)
+
     def _has_to_hand_over(self) -> bool:
         """Whether replicas are here that another live VM can take."""
         vms = self.view.vms
@@ -196,7 +159,8 @@
         handed = tuple(self.replicas.describe_handed(name) for name in given)
         return self.synchroniser.answer(sync, handed, self.membership.is_current())
 
-    def _take_sync_reply(self, reply: SyncReply) -> None:
+    def take_sync_reply(self, reply: SyncReply) -> None:
+        """Take replicas that a peer hands over."""
         taken = self.ownership.take_over(reply)
         self.replicas.adopt(
             tuple(item for item in reply.handed if item.replica in taken)
@@ -228,31 +192,18 @@
     int
         Exit code.
     """
-    configure_logs()
     timers = TimerService()
     dispatch = Dispatch(settings, timers.now)
     timers.subscribe(UPKEEP_PERIOD_S, dispatch.on_tick)
-    timers.subscribe_jump(dispatch.on_jump)
-    ticking = start_task(timers.run())
 
     def respond(path: str) -> HttpAnswer | None:
         return answer_operator(path, dispatch)
 
-    server = await serve_links(
-        settings.host, settings.port, dispatch.handle, respond, dispatch.links.traffic
-    )
-    dispatch.synchroniser.start()
-    dispatch.log.decide("start", settings.vm, f"listening on {settings.listen}")
-    signal_name = await wait_for_stop()
-    await dispatch.drain()
-    dispatch.log.decide("stop", settings.vm, signal_name)
-    await dispatch.synchroniser.stop()
-    await close_server(server)
-    await dispatch.replicas.close()
-    await dispatch.links.stop()
-    await dispatch.platform.close()
-    ticking.cancel()
-    return 0
+    async def open_server() -> Server:
+        host, port, traffic = settings.host, settings.port, dispatch.links.traffic
+        return await serve_links(host, port, dispatch.handle, respond, traffic)
+
+    return await run_node(dispatch, timers, open_server)
 
 
 def serve(settings: str):
--- a/src/anvilhoist/entry.py
+++ b/src/anvilhoist/entry.py
@@ -7,33 +7,28 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import numpy as np
 from expression import Error, Ok, Result
+from sanic.server import AsyncioServer
 
 from .balance import Balancer
 from .callers import Addresses, BookingCall, SearchCall, TicketCall, build_app
 from .clock import TimerService
-from .decisions import DecisionLog, configure_logs
 from .documents import DEADLINE_MAX_MS, Profile
 from .errors import Failure, Kind, Ran
-from .link import Link, PeerLostError, PeerUnreachedError, new_incarnation
-from .membership import SYNC_PERIOD_S, VIEW_TTL_S, Membership
+from .link import Link, PeerLostError, PeerUnreachedError
+from .membership import SYNC_PERIOD_S, VIEW_TTL_S
 from .merge import SearchAnswer
 from .messages import Book, BookingReply, Message, OutcomeAsk, TicketAsk
-from .metrics import Metrics
+from .node import Node, run_node
 from .operations import ReplicaState
-from .platform import PlatformClient
-from .process import close_server, run_binary, wait_for_stop
+from .process import run_binary
 from .routing import Routing
 from .search import run_search
 from .settings import ProcessSettings, read_settings
-from .sync import Links, Synchroniser
-from .tasks import start_task
 from .tickets import parse_ticket
-from .view import View
 
 WINDOW_PERIOD_S = 2.0
 DRAIN_POLL_S = 0.05
@@ -42,63 +37,29 @@
 
 
 @dataclass(slots=True)
-class Entry:
-    """State of one entry process.
+class Entry(Node):
+    """State of one entry process."""
 
-    Parameters
-    ----------
-    settings : ProcessSettings
-        Settings of the process.
-    now : callable
-        Clock, in seconds.
-    """
+    role = "entry"
+    watches_platform = False
 
-    settings: ProcessSettings
-    now: Callable[[], float]
     stopping: bool = False
-    view: View = field(init=False)
-    membership: Membership = field(init=False)
-    log: DecisionLog = field(init=False)
-    metrics: Metrics = field(init=False)
-    links: Links = field(init=False)
-    platform: PlatformClient = field(init=False)
-    synchroniser: Synchroniser = field(init=False)
     routing: Routing = field(init=False)
     _in_progress: int = 0
 
     def __post_init__(self):
-        settings, now = self.settings, self.now
-        self.view = View(now)
-        self.membership = Membership(settings.vm, self.view, now)
-        self.log = DecisionLog(settings.vm, "entry", now)
-        self.metrics = Metrics(settings.vm, "entry")
-        self.links = Links(new_incarnation(), settings.host)
-        self.platform = PlatformClient(settings.platform, settings.host, now)
-        self.synchroniser = Synchroniser(
-            settings,
-            "entry",
-            False,
-            self.view,
-            self.membership,
-            self.links,
-            self.platform,
-            self.log,
-            self.metrics,
-            now,
-            lambda _reply: None,
-            lambda: False,
-        )
-        balancer = Balancer(now, np.random.default_rng())
+        Node.__post_init__(self)
         self.routing = Routing(
             self.view,
             self.links,
-            balancer,
+            Balancer(self.now, np.random.default_rng()),
             self.log,
             self.metrics,
-            now,
+            self.now,
             self.synchroniser.hurry,
         )
         self.metrics.watch("in_progress", lambda: float(self._in_progress))
+        self.metrics.watch("late_frames", lambda: float(self.links.dropped))
 
     def is_ready(self) -> bool:
         """Whether this process can serve callers."""
@@ -199,8 +160,6 @@
 
         Callers keep an address for a while, so what arrives meanwhile is served.
         """
-        self.synchroniser.draining = True
-        self.log.decide("drain", self.settings.vm, "asked to stop")
         config = self.view.config
         keep_s = 0.0 if config is None else config.keep_address_s
         await asyncio.sleep(keep_s + 2 * SYNC_PERIOD_S)
@@ -330,29 +289,20 @@
     int
         Exit code.
     """
-    configure_logs()
     timers = TimerService()
     entry = Entry(settings, timers.now)
     timers.subscribe(WINDOW_PERIOD_S, entry.routing.rotate_windows)
-    timers.subscribe_jump(lambda _gap: entry.membership.void())
-    ticking = start_task(timers.run())
-    app = build_app(entry, entry)
-    server = await app.create_server(
-        settings.host, settings.port, return_asyncio_server=True
-    )
-    await server.startup()
-    await server.start_serving()
-    entry.synchroniser.start()
-    entry.log.decide("start", settings.vm, f"listening on {settings.listen}")
-    signal_name = await wait_for_stop()
-    await entry.drain()
-    entry.log.decide("stop", settings.vm, signal_name)
-    await entry.synchroniser.stop()
-    await close_server(server)
-    await entry.links.stop()
-    await entry.platform.close()
-    ticking.cancel()
-    return 0
+
+    async def open_server() -> AsyncioServer:
+        app = build_app(entry, entry)
+        server = await app.create_server(
+            settings.host, settings.port, return_asyncio_server=True
+        )
+        await server.startup()
+        await server.start_serving()
+        return server
+
+    return await run_node(entry, timers, open_server)
 
 
 def serve(settings: str):
--- a/src/anvilhoist/link.py
+++ b/src/anvilhoist/link.py
@@ -18,7 +18,7 @@
 from websockets.http11 import Request
 
 from .messages import DecodeError, Frame, Message, decode_frame, encode_frame
-from .tasks import start_task
+from .tasks import end_tasks, start_task
 
 MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
 QUEUE_LIMIT_FRAMES = 256
@@ -136,8 +136,7 @@
         """End the link."""
         if self._task is None:
             return
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await end_tasks([self._task])
 
     def begin(self, body: Message, receive: Receive, lose: Callable[[], None]) -> int:
         """Send a message whose replies go to `receive`.
@@ -204,7 +203,8 @@
 
         number = self.begin(body, receive, lose)
         try:
-            return await asyncio.wait_for(future, timeout)
+            async with asyncio.timeout(timeout):
+                return await future
         except TimeoutError:
             raise PeerLostError(
                 f"{self.address}: no reply in {timeout:.3f} s"
--- a/src/anvilhoist/process.py
+++ b/src/anvilhoist/process.py
@@ -141,7 +141,8 @@
     """Close a server; connections that stay open hold it up for a bounded time."""
     server.close()
     try:
-        await asyncio.wait_for(server.wait_closed(), CLOSE_LIMIT_S)
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await server.wait_closed()
     except TimeoutError:
         return
 
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -21,7 +21,7 @@
 from .placement import choose_watchers, score
 from .platform import PlatformClient, Reading
 from .settings import ProcessSettings
-from .tasks import start_task
+from .tasks import end_tasks, start_task
 from .view import View
 
 SYNC_TIMEOUT_S = 0.5
@@ -124,9 +124,7 @@
     async def stop(self) -> None:
         """Cancel the tasks."""
         tasks = [*self._tasks, *self._peers.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await end_tasks(tasks)
 
     def answer(
         self, sync: Sync, handed: tuple[Handed, ...], current: bool
@@ -202,7 +200,8 @@
             return
         rest_s = SYNC_PERIOD_S * self._random.uniform(0.8, 1.0) - URGENT_PERIOD_S
         try:
-            await asyncio.wait_for(self._hurry.wait(), rest_s)
+            async with asyncio.timeout(rest_s):
+                await self._hurry.wait()
         except TimeoutError:
             return
 
--- a/src/anvilhoist/tasks.py
+++ b/src/anvilhoist/tasks.py
@@ -5,11 +5,12 @@
 import asyncio
 import signal
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 
 import structlog
 
 FAILED_EXIT_CODE = 70
+CANCEL_AGAIN_S = 0.2
 
 _failures: list[str] = []
 
@@ -21,6 +22,18 @@
     return task
 
 
+async def end_tasks(tasks: Sequence[asyncio.Task]) -> None:
+    """Cancel tasks until all have ended.
+
+    A task may lose a cancellation that comes together with what it waits for.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+
+
 def find_exit_code(code: int) -> int:
     """Exit code of the process, given the one that it would have otherwise."""
     return FAILED_EXIT_CODE if _failures else code
