--- a/src/anvilhoist/documents.py
+++ b/src/anvilhoist/documents.py
@@ -67,7 +67,7 @@
     coverage_floor: Fraction = 1.0
     choice: Literal["least_loaded", "round_robin"] = "least_loaded"
     hedge: bool = True
-    hedge_quantile: Annotated[float, Field(ge=0.5, lt=1.0)] = 0.97
+    hedge_quantile: Annotated[float, Field(ge=0.5, lt=1.0)] = 0.98
     hedge_budget: Fraction = 0.035
     retry_budget: Fraction = 0.01
     queue_bound: Annotated[int, Field(ge=0, le=1000)] = 16
--- a/src/anvilhoist/query.py
+++ b/src/anvilhoist/query.py
@@ -20,6 +20,7 @@
 RETRY_PAUSE_S = 0.005
 ANSWER_MARGIN_S = 0.005
 DETOURS_LIMIT = 4
+HEDGE_AGAIN_S = 0.005
 
 NOT_SENT = frozenset(
     {
@@ -61,9 +62,14 @@
     failures: set[Kind] = field(default_factory=set)
     detours: int = 0
     hedged: bool = False
+    hedge_not_before: float = 0.0
     failed: bool = False
     retry_at: float | None = None
 
+    def hedge_time(self, after: float) -> float:
+        """Clock reading at which a hedge is due, in seconds."""
+        return max(self.tries[0].sent_at + after, self.hedge_not_before)
+
 
 @dataclass(frozen=True, slots=True)
 class _Lost:
@@ -163,7 +169,7 @@
             if shard.retry_at is not None:
                 soonest = min(soonest, shard.retry_at)
             elif hedge_after is not None and not shard.hedged and shard.tries:
-                soonest = min(soonest, shard.tries[0].sent_at + hedge_after)
+                soonest = min(soonest, shard.hedge_time(hedge_after))
         return soonest
 
     def _hedge_after(self) -> float | None:
@@ -258,17 +264,19 @@
             for shard in self._shards.values()
             if shard.tries
             and not shard.hedged
-            and now >= shard.tries[0].sent_at + after
+            and now >= shard.hedge_time(after)
             and not self.merger.has_part(shard.name)
         ]
         chosen = []
         for shard in late:
-            shard.hedged = True
             if not self._choices(shard, shard.tried):
+                shard.hedged = True
                 continue
             if not self.state.hedges.spend():
+                shard.hedge_not_before = now + HEDGE_AGAIN_S
                 self.routing.metrics.count("hedges_denied", self.profile_name)
                 continue
+            shard.hedged = True
             chosen.append(shard)
         if chosen:
             self.routing.metrics.count("hedges", self.profile_name, len(chosen))
--- a/tests/features/decisions/queries.feature
+++ b/tests/features/decisions/queries.feature
@@ -64,3 +64,13 @@
     And sorting-2/r1 once says not_owner
     And sorting-2/r0 once says out_of_service
     Then the answer covers 4 shards of version 1
+
+  @invariant_2 @fault_straggler @step_hedge
+  Scenario: A hedge that the budget denied goes out when the budget is there
+    Given a query over 4 shards
+    And hedges go out after 10 ms
+    And the hedge budget is earned after 50 ms
+    When sorting-1/r0 is silent if asked first
+    And sorting-1/r1 is silent if asked first
+    Then the answer covers 4 shards of version 1
+    And at most 1 hedge went out
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -67,6 +67,7 @@
     excused_until: dict[str, float] = field(default_factory=dict)
     _loop: asyncio.AbstractEventLoop = field(default_factory=asyncio.new_event_loop)
     _thread: threading.Thread | None = None
+    _sampler: asyncio.Task | None = None
     _background: list[asyncio.Task] = field(default_factory=list)
     _numbers: itertools.count = field(default_factory=itertools.count)
 
@@ -305,10 +306,11 @@
         self.caller = Caller(plan.entry_addresses)
         await self.fleet.start()
         await self.fleet.wait_ready()
-        asyncio.get_running_loop().create_task(self._sample_on())
+        self._sampler = asyncio.create_task(self._sample_on())
 
     async def _stop(self) -> None:
         await self._stop_load()
+        self._sampler.cancel()
         await self.caller.close()
         try:
             await self.fleet.stop()
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import numpy as np
@@ -32,18 +33,24 @@
     address: str = "fake"
     is_up: bool = True
     sent: list[str] = field(default_factory=list)
+    later: Callable[[], object] = lambda: None
 
     def get(self, _address: str) -> FakeLink:
         return self
 
     def begin(self, batch: SubBatch, receive, lose) -> int:
         loop = asyncio.get_running_loop()
+        self.later()
         for item in batch.items:
             self.sent.append(item.replica)
             told = self.behaviour.get(item.replica, self.behaviour.get("all", ""))
             if told.startswith("once "):
                 del self.behaviour[item.replica]
                 told = told.removeprefix("once ")
+            if told == "is silent if asked first":
+                group = item.replica.partition("/")[0]
+                is_first = [name.partition("/")[0] for name in self.sent].count(group)
+                told = "stays silent" if is_first == 1 else ""
             if told == "loses its link":
                 loop.call_soon(lose)
             elif told != "stays silent":
@@ -127,6 +134,16 @@
     state.hedges.earn(1000)
 
 
+@given(parsers.parse("the hedge budget is earned after {delay:d} ms"))
+def earned_later(bench: Bench, delay: int):
+    state = bench.routing.profile_state("lookup", bench.profile)
+    while state.hedges.spend():
+        pass
+    bench.link.later = lambda: asyncio.get_running_loop().call_later(
+        delay / 1000, state.hedges.earn, 1000
+    )
+
+
 @given("no retry is allowed")
 def no_retry(bench: Bench):
     bench.profile = replace(bench.profile, retry_budget=0.0)
