Split what had grown large: query, experiment and the upstreams' stand-in

Ruled out: splitting by size alone; each new module has one duty (records of a query, what an experiment found, the witness's state, its control).

Change: shards.py; bench/results.py, bench/witness.py, bench/control.py. No behaviour.

Conclusion: no circle of imports is left.

--- a/src/anvilhoist/bench/checker.py
+++ b/src/anvilhoist/bench/checker.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from .upstreams import Arrival
+from .witness import Arrival
 
 EFFECT_S = 3.0
 
--- a/src/anvilhoist/bench/experiment.py
+++ b/src/anvilhoist/bench/experiment.py
@@ -9,19 +9,16 @@
 import asyncio
 import json
 import statistics
-from dataclasses import asdict, dataclass, field
 from pathlib import Path
-from typing import Annotated, Any
-
-from pydantic import Field
+from typing import Any
 
 from ..clock import read_boottime
-from ..settings import BORDER, Name, parse_toml
 from .caller import Caller
 from .fleet import Fleet
 from .load import LoadResult, run_load
 from .report import write_report
-from .topology import Plan, Topology, make_plan, write_config, write_vms
+from .results import Experiment, Results, read_experiment
+from .topology import Plan, make_plan, write_config, write_vms
 
 BASE_PORT = 25000
 SETTLE_S = 2.0
@@ -41,83 +38,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True)
-class Experiment:
-    """One experiment file.
-
-    Attributes
-    ----------
-    rate : float
-        Queries a second.
-    seconds : float
-        Length of one load.
-    runs : int
-        Times that each load is repeated.
-    """
-
-    __pydantic_config__ = BORDER
-
-    name: Name
-    index: Name
-    rate: Annotated[float, Field(gt=0)]
-    seconds: Annotated[float, Field(gt=0)]
-    runs: Annotated[int, Field(ge=1)]
-    seed: int
-    topology: Topology
-    straggler_share: float = 0.01
-    p99_limit_ms: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Measure:
-    """One figure against its target."""
-
-    measure: str
-    value: float
-    target: str
-    met: bool | None
-    runs: int
-
-
-@dataclass(slots=True)
-class Results:
-    """Everything that an experiment found.
-
-    Attributes
-    ----------
-    loads : dict of str to list of LoadResult
-        By variant, one for each run.
-    extra : dict of str to list of float
-        Extra sub-requests as a share of first tries, by variant.
-    change : LoadResult or None
-        Load while a data centre left and came back.
-    """
-
-    experiment: Experiment
-    measures: list[Measure] = field(default_factory=list)
-    loads: dict[str, list[LoadResult]] = field(default_factory=dict)
-    extra: dict[str, list[float]] = field(default_factory=dict)
-    change: LoadResult | None = None
-
-    def note(
-        self, name: str, value: float, target: str = "none", met: bool | None = None
-    ) -> None:
-        """Keep and print one measure."""
-        runs = self.experiment.runs
-        measure = Measure(name, round(value, 4), target, met, runs)
-        self.measures.append(measure)
-        print(json.dumps(asdict(measure)), flush=True)
-
-    def median_p99(self, variant: str) -> float:
-        """Median over the runs of a variant's 99th percentile, in seconds."""
-        return statistics.median(item.percentile(99) for item in self.loads[variant])
-
-
-def read_experiment(path: str) -> Experiment:
-    """Read and validate an experiment file."""
-    return parse_toml(path, Path(path).read_text(encoding="utf-8"), Experiment)
-
-
 async def run_experiment(path: str, reports: str) -> int:
     """Run one experiment and write its report.
 
--- a/src/anvilhoist/bench/report.py
+++ b/src/anvilhoist/bench/report.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import matplotlib
 import numpy as np
@@ -12,8 +11,7 @@
 
 from matplotlib import pyplot
 
-if TYPE_CHECKING:
-    from .experiment import Results
+from .results import Results
 
 SIZE_INCHES = (9.0, 5.0)
 
--- a/src/anvilhoist/query.py
+++ b/src/anvilhoist/query.py
@@ -16,6 +16,7 @@
 from .merge import Merger
 from .messages import Cancel, Message, SubBatch, SubReplies, SubReply, SubRequest
 from .routing import ProfileState, Routing
+from .shards import LostLink, Shard, Try
 
 RETRY_PAUSE_S = 0.005
 ANSWER_MARGIN_S = 0.005
@@ -38,47 +39,6 @@
 WORTH_WAITING = OWNER_CHANGES | {Kind.OUT_OF_SERVICE, Kind.SHUTTING_DOWN}
 
 
-@dataclass(slots=True)
-class _Try:
-    """One sub-request without an answer."""
-
-    number: int
-    shard: str
-    replica: str
-    sent_at: float
-    link: Link
-    exchange: int
-
-
-@dataclass(slots=True)
-class _Shard:
-    """One shard of the query."""
-
-    name: str
-    replicas: tuple[str, ...]
-    tried: set[str] = field(default_factory=set)
-    tries: list[_Try] = field(default_factory=list)
-    gone: set[str] = field(default_factory=set)
-    failures: set[Kind] = field(default_factory=set)
-    detours: int = 0
-    hedged: bool = False
-    hedge_not_before: float = 0.0
-    failed: bool = False
-    retry_at: float | None = None
-
-    def hedge_time(self, after: float) -> float:
-        """Clock reading at which a hedge is due, in seconds."""
-        return max(self.tries[0].sent_at + after, self.hedge_not_before)
-
-
-@dataclass(frozen=True, slots=True)
-class _Lost:
-    """The link of an exchange broke."""
-
-    exchange: int
-    link: Link
-
-
 @dataclass(slots=True)
 class Query:
     """One run of a search at one pinned snapshot.
@@ -98,9 +58,9 @@
     snapshot: Snapshot
     deadline: float
     merger: Merger = field(init=False)
-    _shards: dict[str, _Shard] = field(default_factory=dict)
-    _tries: dict[int, _Try] = field(default_factory=dict)
-    _events: deque[SubReply | _Lost] = field(default_factory=deque)
+    _shards: dict[str, Shard] = field(default_factory=dict)
+    _tries: dict[int, Try] = field(default_factory=dict)
+    _events: deque[SubReply | LostLink] = field(default_factory=deque)
     _wake: asyncio.Event = field(default_factory=asyncio.Event)
     _exchanges: list[tuple[Link, int]] = field(default_factory=list)
     _next_number: int = 0
@@ -137,7 +97,7 @@
             group = directory.groups.get(group_name)
             members = () if group is None else group.replicas
             replicas = tuple(f"{group_name}/{member}" for member in members)
-            self._shards[name] = _Shard(name, replicas)
+            self._shards[name] = Shard(name, replicas)
 
     def _is_done(self) -> bool:
         if self.merger.is_complete:
@@ -178,7 +138,7 @@
     def _take_events(self) -> None:
         while self._events:
             event = self._events.popleft()
-            if isinstance(event, _Lost):
+            if isinstance(event, LostLink):
                 self._take_loss(event)
             else:
                 self._take_reply(event)
@@ -203,14 +163,14 @@
         if self.merger.add_part(reply.shard, reply.version, reply.hits):
             self._cancel_others(shard)
 
-    def _take_loss(self, lost: _Lost) -> None:
+    def _take_loss(self, lost: LostLink) -> None:
         for sent in list(self._tries.values()):
             if sent.link is lost.link and sent.exchange == lost.exchange:
                 self._finish_try(sent)
                 failure = Failure(Kind.PEER_LOST, "the link to its owner broke")
                 self._take_failure(self._shards[sent.shard], sent, failure)
 
-    def _take_failure(self, shard: _Shard, sent: _Try, failure: Failure) -> None:
+    def _take_failure(self, shard: Shard, sent: Try, failure: Failure) -> None:
         if self.merger.has_part(shard.name):
             return
         self.routing.metrics.count("sub_failures", failure.kind.value)
@@ -222,7 +182,7 @@
             return
         self._try_again(shard, sent, failure)
 
-    def _try_again(self, shard: _Shard, sent: _Try, failure: Failure) -> None:
+    def _try_again(self, shard: Shard, sent: Try, failure: Failure) -> None:
         shard.failures.add(failure.kind)
         if failure.kind in OWNER_CHANGES and shard.detours < DETOURS_LIMIT:
             if self.routing.take_detour(sent.replica, sent.link):
@@ -282,7 +242,7 @@
             self.routing.metrics.count("hedges", self.profile_name, len(chosen))
             self._send(chosen, "hedge")
 
-    def _choices(self, shard: _Shard, excluded: set[str]) -> list[str]:
+    def _choices(self, shard: Shard, excluded: set[str]) -> list[str]:
         return [
             replica
             for replica in shard.replicas
@@ -292,8 +252,8 @@
             and self.routing.find_link(replica) is not None
         ]
 
-    def _send(self, shards: list[_Shard], reason: str) -> None:
-        batches: dict[str, list[tuple[_Shard, str]]] = {}
+    def _send(self, shards: list[Shard], reason: str) -> None:
+        batches: dict[str, list[tuple[Shard, str]]] = {}
         chosen = []
         for shard in shards:
             shard.retry_at = None
@@ -316,26 +276,26 @@
             return self.routing.balancer.take_turns(replicas)
         return self.routing.balancer.choose(replicas)
 
-    def _postpone(self, shard: _Shard) -> None:
+    def _postpone(self, shard: Shard) -> None:
         if shard.gone and not self._choices(shard, set()):
             shard.failed = True
             return
         self.merger.note_reason(shard.name, "no replica can be used now")
         self._pause(shard)
 
-    def _pause(self, shard: _Shard) -> None:
+    def _pause(self, shard: Shard) -> None:
         """Try all replicas of a shard again in a moment."""
         shard.tried.clear()
         shard.failures.clear()
         shard.retry_at = self.routing.now() + RETRY_PAUSE_S
 
-    def _send_batch(self, link: Link, items: list[tuple[_Shard, str]]) -> None:
+    def _send_batch(self, link: Link, items: list[tuple[Shard, str]]) -> None:
         now = self.routing.now()
         budget_s = max(self.deadline - now - ANSWER_MARGIN_S, 0.0)
         tries = []
         for shard, replica in items:
             self._next_number += 1
-            sent = _Try(self._next_number, shard.name, replica, now, link, 0)
+            sent = Try(self._next_number, shard.name, replica, now, link, 0)
             tries.append(sent)
             shard.tries.append(sent)
             self._tries[sent.number] = sent
@@ -353,11 +313,11 @@
         )
         self._begin(link, batch, tries)
 
-    def _begin(self, link: Link, batch: SubBatch, tries: list[_Try]) -> None:
-        lost = _Lost(0, link)
+    def _begin(self, link: Link, batch: SubBatch, tries: list[Try]) -> None:
+        lost = LostLink(0, link)
 
         def lose() -> None:
-            self._push(_Lost(tries[0].exchange, link))
+            self._push(LostLink(tries[0].exchange, link))
 
         try:
             exchange = link.begin(batch, self._receive, lose)
@@ -374,20 +334,20 @@
             self._events.extend(message.items)
             self._wake.set()
 
-    def _push(self, event: _Lost) -> None:
+    def _push(self, event: LostLink) -> None:
         self._events.append(event)
         self._wake.set()
 
-    def _finish_try(self, sent: _Try) -> None:
+    def _finish_try(self, sent: Try) -> None:
         del self._tries[sent.number]
         self._shards[sent.shard].tries.remove(sent)
         self.routing.balancer.note_done(sent.replica)
 
-    def _cancel_others(self, shard: _Shard) -> None:
+    def _cancel_others(self, shard: Shard) -> None:
         for sent in list(shard.tries):
             self._cancel(sent)
 
-    def _cancel(self, sent: _Try) -> None:
+    def _cancel(self, sent: Try) -> None:
         self.state.window.record(self.routing.now() - sent.sent_at)
         self._finish_try(sent)
         sent.link.send(sent.exchange, Cancel((sent.number,)))
--- a/tests/runner.py
+++ b/tests/runner.py
@@ -25,7 +25,7 @@
     write_directory,
     write_vms,
 )
-from anvilhoist.bench.upstreams import Arrival
+from anvilhoist.bench.witness import Arrival
 from anvilhoist.clock import read_boottime
 from relay import Relay
 
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -5,7 +5,7 @@
 import pytest
 
 from anvilhoist.bench.checker import Call, Change, Record, Sample, check_record
-from anvilhoist.bench.upstreams import Arrival
+from anvilhoist.bench.witness import Arrival
 
 
 def make_call(**changes: Any) -> Call:
