Gauges for documents in force and for upstream work against its bound

Cause: operators could see revision and age in the status command only, and the work at upstreams not beside its bound.

Ruled out: a counter at each change, which a scraper that starts late misses.

Change: gauges read anew at each scrape; the age of documents and of the platform's word is worked out in one place, the view.

--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/dispatch.py
@@ -78,6 +78,8 @@
         self.subrequests = SubRequests(self.replicas, self.metrics, now)
         self.bookings = Bookings(self.tickets, self.replicas, self.view, self.log, now)
         self.view.listen(self._on_document)
+        self.metrics.watch("upstream_work", lambda: float(self.replicas.at_work))
+        self.metrics.watch("upstream_bound", lambda: float(self.replicas.bound))
 
     def handle(self, frame: Frame, reply: Reply) -> None:
         """Take one message of a peer."""
--- a/src/anvilhoist/node.py
+++ b/src/anvilhoist/node.py
@@ -4,10 +4,12 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import ClassVar
 
 from .clock import TimerService
 from .decisions import DecisionLog, configure_logs
+from .documents import KEYS
 from .link import new_incarnation
 from .membership import Membership
 from .messages import SyncReply
@@ -68,6 +70,16 @@
             self.is_urgent,
         )
 
+        self._watch_view()
+
+    def _watch_view(self) -> None:
+        """Show revision and age of each document, and the platform's word."""
+        view = self.view
+        for key in KEYS:
+            self.metrics.watch(f"{key}_revision", partial(view.revision, key))
+            self.metrics.watch(f"{key}_age_seconds", partial(view.age, key))
+        self.metrics.watch("platform_age_seconds", view.platform_age)
+
     def take_sync_reply(self, reply: SyncReply) -> None:
         """Take a peer's answer, once its documents are taken in."""
 
--- a/src/anvilhoist/operations.py
+++ b/src/anvilhoist/operations.py
@@ -101,13 +101,12 @@
 def describe_process(process: Observed) -> ProcessState:
     """State of a process."""
     view = process.view
-    confirmed_at = view.platform_confirmed_at
     return ProcessState(
         vm=process.log.vm,
         role=process.log.role,
         ready=process.is_ready(),
         documents=tuple(_describe_document(view, key) for key in KEYS),
-        platform_age_s=-1.0 if confirmed_at is None else view.now() - confirmed_at,
+        platform_age_s=view.platform_age(),
         sent_bytes=process.links.traffic.sent_bytes,
         received_bytes=process.links.traffic.received_bytes,
         replicas=process.list_replicas(),
@@ -159,13 +158,11 @@
 
 
 def _describe_document(view: View, key: str) -> DocumentState:
-    held = view.held(key)
-    age_s = 0.0 if held is None else view.now() - held.accepted_at
     refused = [item for item in view.rejections if item.key == key]
     return DocumentState(
         key=key,
         revision=view.revision(key),
-        age_s=round(age_s, 3),
+        age_s=round(view.age(key), 3),
         refused_revision=refused[0].revision if refused else 0,
         problems=refused[0].problems if refused else (),
     )
--- a/src/anvilhoist/replicas.py
+++ b/src/anvilhoist/replicas.py
@@ -83,6 +83,11 @@
         """Pieces of work at upstreams."""
         return sum(station.gate.at_work for station in self._stations.values())
 
+    @property
+    def bound(self) -> int:
+        """Most pieces of work that all replicas here may have now."""
+        return sum(station.gate.limit for station in self._stations.values())
+
     def count_at_work(self, name: str) -> int:
         """Pieces of work at one replica."""
         station = self._stations.get(name)
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/sync.py
@@ -135,14 +135,13 @@
         )
         if sync.draining and sync.role == "entry":
             self.membership.note_draining(sync.vm)
-        at = self.view.platform_confirmed_at
         config = self.view.config
         keep_s = 0.0 if config is None else config.keep_address_s
         return SyncReply(
             vm=self.settings.vm,
             incarnation=self.links.incarnation,
             revisions=self.view.revisions,
-            platform_age_s=-1.0 if at is None else self.now() - at,
+            platform_age_s=self.view.platform_age(),
             documents=self.view.newer_than(sync.revisions),
             joined=self.membership.has_joined(),
             current=current,
--- a/src/anvilhoist/view.py
+++ b/src/anvilhoist/view.py
@@ -158,6 +158,16 @@
             return None
         return min(self._confirmed.values())
 
+    def platform_age(self) -> float:
+        """Seconds since the platform confirmed the view, negative if never."""
+        at = self.platform_confirmed_at
+        return -1.0 if at is None else self.now() - at
+
+    def age(self, key: str) -> float:
+        """Seconds since a document was accepted, negative if there is none."""
+        held = self._held.get(key)
+        return -1.0 if held is None else self.now() - held.accepted_at
+
     def confirm_platform(self, key: str, at: float) -> None:
         """Record that the platform held nothing newer of a document at `at`."""
         self._confirmed[key] = max(at, self._confirmed.get(key, at))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -132,12 +132,11 @@
             sync.vm, sync.role, sync.incarnation
         )
         given = self.ownership.hand_over(sync, self.at_work)
-        at = self.view.platform_confirmed_at
         return SyncReply(
             vm=self.vm,
             incarnation=self.incarnation,
             revisions=self.view.revisions,
-            platform_age_s=-1.0 if at is None else self.clock() - at,
+            platform_age_s=self.view.platform_age(),
             documents=self.view.newer_than(sync.revisions),
             joined=self.membership.has_joined(),
             current=self.membership.is_current(),
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -114,6 +114,8 @@
             assert health == "ok\n"
             metrics = fleet.run(fleet.fleet.read_operations(address, "/metrics"))
             assert "anvilhoist_documents_accepted" in metrics
+            assert "anvilhoist_config_revision" in metrics
+            assert "anvilhoist_platform_age_seconds" in metrics
 
 
 def _list_descriptors(pid: int):
