--- a/src/anvilhoist/node.py
+++ b/src/anvilhoist/node.py
@@ -88,8 +88,9 @@
         return False
 
     def on_jump(self, gap: float) -> None:
-        """Trust nothing that was confirmed before a pause."""
+        """Trust nothing that was confirmed before a pause, and ask anew at once."""
         self.membership.void()
+        self.synchroniser.hurry()
         self.metrics.count("pauses")
         self.log.decide("pause", self.settings.vm, f"paused for {gap:.3f} s")
 
