The cut-off issuer scenario tells its two cases apart

Cause: on a clean clone one of the whole suite's tests failed: a booking sent through the issuer's own VM, while that VM was cut off, was answered 'view_stale, not run'. The scenario sent it through a VM chosen at random.

Ruled out: a false refusal. The detail in the reply is the dispatch process's own, so the issuer itself said it, of a ticket that it had just marked spent; the upstreams' count shows no run.

Change: the scenario sends through every VM but the issuer's, none of which may say 'not run', then through the issuer's, which must, and then counts 0 runs. It asks for more than before.

--- a/tests/features/processes/bookings.feature
+++ b/tests/features/processes/bookings.feature
@@ -74,8 +74,11 @@
     When a ticket is issued
     And the issuer is cut off
     And 3 seconds pass
-    And the booking of the ticket is sent
+    And the booking of the ticket is sent through every VM but the issuer's
     Then no reply says that it was not run
+    When the booking of the ticket is sent through the issuer's VM
+    Then the reply says that it was not run
+    And the booking ran 0 times
     And point 6 holds
 
   @invariant_6 @fault_straggler @step_wait
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -22,6 +22,11 @@
     return {"ticket": "", "replies": []}
 
 
+def issuer_of(notes: dict) -> str:
+    """Slot of the VM that issued the ticket."""
+    return notes["ticket"].rsplit(".", 2)[0]
+
+
 @given("a running fleet")
 def running_fleet(fleet: FleetRunner, request: pytest.FixtureRequest):
     fleet.restore()
@@ -195,15 +200,28 @@
         notes["replies"].append(fleet.book_at(address, notes["ticket"]))
 
 
+@when("the booking of the ticket is sent through every VM but the issuer's")
+def book_elsewhere(fleet: FleetRunner, notes: dict):
+    own = fleet.entry(fleet.fleet.plan.vm_names.index(issuer_of(notes)))
+    for address in set(fleet.fleet.plan.entry_addresses) - {own}:
+        notes["replies"].append(fleet.book_at(address, notes["ticket"]))
+
+
+@when("the booking of the ticket is sent through the issuer's VM")
+def book_at_issuer(fleet: FleetRunner, notes: dict):
+    own = fleet.entry(fleet.fleet.plan.vm_names.index(issuer_of(notes)))
+    notes["replies"].append(fleet.book_at(own, notes["ticket"]))
+
+
 @when(parsers.parse("the issuer gets {name}"))
 def signal_issuer(fleet: FleetRunner, notes: dict, name: str):
-    issuer = notes["ticket"].rsplit(".", 2)[0]
+    issuer = issuer_of(notes)
     fleet.signal(f"{issuer}-dispatch", signal.Signals[name])
 
 
 @when("the issuer is killed and starts again")
 def restart_issuer(fleet: FleetRunner, notes: dict):
-    issuer = notes["ticket"].rsplit(".", 2)[0]
+    issuer = issuer_of(notes)
     fleet.end(f"{issuer}-dispatch", signal.SIGKILL)
     fleet.start_process(f"{issuer}-dispatch")
     fleet.wait_ready()
@@ -211,7 +229,7 @@
 
 @when("the issuer is cut off")
 def cut_issuer(fleet: FleetRunner, notes: dict):
-    issuer = notes["ticket"].rsplit(".", 2)[0]
+    issuer = issuer_of(notes)
     fleet.isolate(fleet.fleet.plan.vm_names.index(issuer))
 
 
