--- a/src/anvilhoist/bench/capacity.py
+++ b/src/anvilhoist/bench/capacity.py
@@ -11,8 +11,8 @@
 import numpy as np
 import psutil
 
-from ..documents import DIRECTORY, VMS, Directory, Vms, parse_document
-from ..placement import Placement
+from ..searches.documents import DIRECTORY, VMS, Directory, Vms, parse_document
+from ..searches.placement import Placement
 from .caller import Caller
 from .fleet import Fleet
 from .load import run_load
--- a/src/anvilhoist/bench/fleet.py
+++ b/src/anvilhoist/bench/fleet.py
@@ -228,7 +228,7 @@
     def _start_role(self, role: str, number: int, listen: str) -> None:
         name = f"{self.plan.vm_names[number]}-{role}"
         path = self._write(name, write_process(self.plan, number, listen, self.alone))
-        self._spawn(name, role, "--settings", path)
+        self._spawn(name, f"searches.{role}", "--settings", path)
 
     def _spawn(self, name: str, module: str, *arguments: str) -> None:
         command = [sys.executable, "-m", f"anvilhoist.{module}", *arguments]
--- /dev/null
+++ b/src/anvilhoist/directory.py
@@ -0,0 +1,47 @@
+"""Tell callers which addresses to use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .peers.members import Members
+from .peers.messages import Heartbeat, State
+
+ENOUGH = 2  # addresses, so that a caller has another where one fails
+MOST = 64  # addresses that a caller reads
+
+
+@dataclass(slots=True)
+class Directory:
+    """Chooses addresses for callers.
+
+    Answers load that should stay within a data centre as long as it has VMs.
+
+    Parameters
+    ----------
+    members : Members
+        The other VMs.
+    """
+
+    members: Members
+
+    def list_addresses(
+        self, own: Heartbeat, region: str, data_centre: str
+    ) -> list[str]:
+        """Choose addresses for a caller.
+
+        Parameters
+        ----------
+        own : Heartbeat
+            This VM.
+        region, data_centre : str
+            Where the caller stands.
+        """
+        ready = self.members.list_ready()
+        if own.state is State.READY:
+            ready.append(own)
+        near = [vm for vm in ready if vm.data_centre == data_centre]
+        if len(near) < ENOUGH:
+            same_region = [vm for vm in ready if vm.region == region]
+            near = same_region if len(same_region) >= ENOUGH else ready
+        return sorted(vm.callers_address for vm in near)[:MOST]
--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -48,6 +48,15 @@
     TICKET_LOST = "ticket_lost"
     OUTCOME_UNKNOWN = "outcome_unknown"
     INTERNAL = "internal"
+    STORE_UNREACHED = "store_unreached"
+    STORE_UNREADABLE = "store_unreadable"
+    STORE_HISTORY_GONE = "store_history_gone"
+    NO_CONFIGURATION = "no_configuration"
+    NO_ROUTE = "no_route"
+    NO_REPLICA = "no_replica"
+    BUDGET_SPENT = "budget_spent"
+    TOO_FEW_SHARDS = "too_few_shards"
+    SPOILT = "spoilt"
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +107,15 @@
     Kind.TICKET_LOST: Answer(410, Ran.UNKNOWN),
     Kind.OUTCOME_UNKNOWN: Answer(502, Ran.UNKNOWN),
     Kind.INTERNAL: Answer(500, Ran.UNKNOWN),
+    Kind.STORE_UNREACHED: Answer(503, Ran.NO),
+    Kind.STORE_UNREADABLE: Answer(503, Ran.NO),
+    Kind.STORE_HISTORY_GONE: Answer(503, Ran.NO),
+    Kind.NO_CONFIGURATION: Answer(503, Ran.NO),
+    Kind.NO_ROUTE: Answer(404, Ran.NO),
+    Kind.NO_REPLICA: Answer(503, Ran.NO),
+    Kind.BUDGET_SPENT: Answer(503, Ran.NO),
+    Kind.TOO_FEW_SHARDS: Answer(504, Ran.UNKNOWN),
+    Kind.SPOILT: Answer(502, Ran.UNKNOWN),
 }
 
 
--- /dev/null
+++ b/src/anvilhoist/forward/context.py
@@ -0,0 +1,105 @@
+"""What requests share: the view, replicas, budget and usual durations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import structlog
+
+from ..http.exchange import Outcome, Reply
+from ..http.messages import Headers
+from ..metrics import Metrics
+from ..platform.edge import encode_attempt, judge, match_call, read_load
+from ..upstreams.budget import RetryBudget
+from ..upstreams.choice import choose_probe, choose_replica
+from ..upstreams.fleet import Replicas
+from ..upstreams.replica import Exchange, Replica
+from ..upstreams.usual import UsualDurations
+from ..world.view import View
+from .call import NEVER_RAN, Call, Verdict
+
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class Context:
+    """What every request rests on.
+
+    Attributes
+    ----------
+    now : callable
+        Clock, in seconds.
+    data_centre : str
+        Data centre of this VM.
+    """
+
+    now: Callable[[], float]
+    data_centre: str
+    view: View
+    replicas: Replicas
+    budget: RetryBudget
+    usual: UsualDurations
+    metrics: Metrics
+    random: Random = field(default_factory=Random)
+
+    def choose(self, service: str, tried: list[str]) -> Replica | None:
+        """Choose a replica of a service that can be expected to answer."""
+        listed = self.replicas.list_service(service, self.view.out)
+        now = self.now()
+        chosen = choose_replica(listed, self.data_centre, now, self.random, tried)
+        return chosen or choose_probe(listed, now, tried)
+
+    def send(
+        self,
+        replica: Replica,
+        call: Call,
+        headers: Headers,
+        end_at: float,
+        usual_s: float,
+        on_done: Callable[[Exchange, Outcome, Verdict], None],
+        fresh: bool = False,
+    ) -> Exchange:
+        """Send a call to a replica.
+
+        Parameters
+        ----------
+        replica : Replica
+            Where to.
+        call : Call
+            The caller's request.
+        headers : list of tuple of bytes
+            Headers that every replica gets alike.
+        end_at, usual_s : float
+            When the call ends, and the usual duration of such a request, in seconds.
+        on_done : callable
+            Told of the outcome and what it means.
+        fresh : bool
+            Use a new connection: nothing older can arrive there, and no idle limit
+            can cut it.
+        """
+        now = self.now()
+        instance = replica.entry.instance
+        data = encode_attempt(call, headers, instance, end_at - now)
+
+        def finish(exchange: Exchange, outcome: Outcome) -> None:
+            verdict = Verdict.SPOILT
+            if isinstance(outcome, Reply):
+                verdict = judge(outcome, call)
+                self._learn(replica, outcome, verdict)
+            on_done(exchange, outcome, verdict)
+
+        matches = match_call(call)
+        return replica.send(data, matches, usual_s, fresh, finish)
+
+    def _learn(self, replica: Replica, reply: Reply, verdict: Verdict) -> None:
+        instance = replica.entry.instance
+        load = read_load(reply.headers)
+        if load is not None:
+            replica.health.report_load(load, self.now())
+        if verdict is Verdict.OTHER_INSTANCE:
+            replica.retire()
+            log.info("replica_gone", replica=instance, why="another has its address")
+        if verdict in NEVER_RAN:
+            self.metrics.count("replica_rejected")
--- /dev/null
+++ b/src/anvilhoist/forward/gather.py
@@ -0,0 +1,276 @@
+"""A query over many shards: one replica of each, hedges, and one merged answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+
+from ..errors import Failure, Kind
+from ..http.exchange import Outcome
+from ..http.messages import Headers, Response
+from ..platform.edge import encode_gathered, prepare_headers, read_digest
+from ..upstreams.replica import Exchange, Replica
+from ..upstreams.usual import Durations
+from ..world.model import Gather, Route
+from .call import NEVER_RAN, Call, Verdict
+from .context import Context
+from .merge import merge_records
+from .refusal import refuse
+from .timing import SECOND_HEDGE_FACTOR, Schedule, plan_schedule
+
+REJECTED_LIMIT = 4  # sends for one shard, those that were rejected included
+LEAVE_S = 0.3  # s for which what is open may still end after the answer
+
+
+@dataclass(slots=True)
+class Shard:
+    """What has come of one shard so far.
+
+    Attributes
+    ----------
+    service : str
+        Service that holds the shard.
+    runs : int
+        Sends that ran or may have run.
+    sends : int
+        All sends.
+    tried : list of str
+        Instances that may have run it.
+    open : dict
+        Exchanges under way.
+    digest, body : bytes
+        Of the part, once it is in.
+    """
+
+    service: str
+    runs: int = 0
+    sends: int = 0
+    tried: list[str] = field(default_factory=list)
+    open: dict[Exchange, Replica] = field(default_factory=dict)
+    digest: bytes | None = None
+    body: bytes = b""
+    lost: bool = False
+
+
+class GatherRun:
+    """One query under way."""
+
+    def __init__(self, context: Context, call: Call, route: Route, gather: Gather):
+        self._context = context
+        self._call = call
+        self._route = route
+        self._gather = gather
+        self._shards = [Shard(service) for service in gather.shards]
+        self._headers: Headers = prepare_headers(call)
+        self._durations: Durations = context.usual.get(route.name, route.target_s)
+        self._schedule: Schedule = plan_schedule(
+            route, call.request.arrived, call.deadline, self._durations.late_s
+        )
+        self._in = 0
+        self._undecided = len(self._shards)
+        self._hedges = 0
+        self._retries = 0
+        self._timers: list[asyncio.TimerHandle] = []
+        self._answer: asyncio.Future[Response] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    async def run(self) -> Response:
+        """Send, wait, and answer.
+
+        Returns
+        -------
+        Response
+            The answer or a refusal.
+        """
+        now = self._context.now()
+        for shard in self._shards:
+            self._context.budget.add_request(shard.service, now)
+        chosen = [self._choose(shard) for shard in self._shards]
+        reachable = sum(replica is not None for replica in chosen)
+        if reachable < self._gather.needed or now >= self._schedule.end_at:
+            return refuse(
+                self._context, self._call, self._route, Kind.NO_REPLICA, reachable
+            )
+        self._set_timers()
+        try:
+            for shard, replica in zip(self._shards, chosen, strict=True):
+                if replica is None:
+                    self._lose(shard)
+                else:
+                    self._send(shard, replica)
+            return await self._answer
+        except asyncio.CancelledError:
+            self._log("cancelled", "caller left")
+            self._cancel_open()
+            raise
+        finally:
+            for timer in self._timers:
+                timer.cancel()
+            if self._answer.done():
+                self._leave_open()
+
+    def _choose(self, shard: Shard) -> Replica | None:
+        return self._context.choose(shard.service, shard.tried)
+
+    def _send(self, shard: Shard, replica: Replica) -> None:
+        shard.sends += 1
+        shard.runs += 1
+        shard.tried.append(replica.entry.instance)
+
+        def on_done(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
+            shard.open.pop(exchange, None)
+            self._take(shard, exchange, outcome, verdict)
+
+        exchange = self._context.send(
+            replica,
+            self._call,
+            self._headers,
+            self._schedule.end_at,
+            self._durations.median_s,
+            on_done,
+        )
+        shard.open[exchange] = replica
+
+    def _take(
+        self, shard: Shard, exchange: Exchange, outcome: Outcome, verdict: Verdict
+    ) -> None:
+        now = self._context.now()
+        if verdict is Verdict.DONE:
+            self._durations.add(now - exchange.since)
+        if self._answer.done() or shard.digest is not None:
+            return
+        if verdict is Verdict.DONE and self._is_new(read_digest(outcome)):
+            shard.digest = read_digest(outcome)
+            shard.body = outcome.body
+            self._in += 1
+            self._decide(shard)
+            return
+        unsent = isinstance(outcome, Failure) and outcome.kind is Kind.CONNECT_FAILED
+        if unsent or verdict in NEVER_RAN:
+            shard.runs -= 1
+        self._retry(shard, now, unsent)
+
+    def _is_new(self, digest: bytes) -> bool:
+        return all(shard.digest != digest for shard in self._shards)
+
+    def _retry(self, shard: Shard, now: float, unsent: bool) -> None:
+        if shard.open:
+            return
+        if self._may_send(shard) and now < self._schedule.end_at:
+            replica = self._choose(shard) or self._choose_again(shard)
+            if replica and (unsent or self._context.budget.spend(shard.service, now)):
+                self._retries += 1
+                self._send(shard, replica)
+                return
+        self._lose(shard)
+
+    def _choose_again(self, shard: Shard) -> Replica | None:
+        # All have been tried; those that rejected it may have room by now.
+        return self._context.choose(shard.service, [])
+
+    def _may_send(self, shard: Shard) -> bool:
+        return shard.runs < self._route.attempts and shard.sends < REJECTED_LIMIT
+
+    def _lose(self, shard: Shard) -> None:
+        if not shard.lost:
+            shard.lost = True
+            self._decide(shard)
+
+    def _decide(self, shard: Shard) -> None:
+        self._undecided -= 1
+        if self._undecided == 0:
+            self._finish()
+        elif self._in >= self._gather.needed and (
+            self._context.now() >= self._schedule.cut_at
+        ):
+            self._finish()
+        elif self._in + self._undecided < self._gather.needed:
+            self._finish()
+
+    def _set_timers(self) -> None:
+        loop = asyncio.get_running_loop()
+        now = self._context.now()
+
+        def at(when: float, call) -> None:
+            self._timers.append(loop.call_later(max(0.0, when - now), call))
+
+        schedule = self._schedule
+        hedge_s = schedule.hedge_at - self._call.request.arrived
+        at(schedule.hedge_at, self._hedge)
+        at(schedule.hedge_at + (SECOND_HEDGE_FACTOR - 1) * hedge_s, self._hedge)
+        at(schedule.cut_at, self._cut)
+        at(schedule.end_at, self._finish)
+
+    def _hedge(self) -> None:
+        now = self._context.now()
+        for shard in self._shards:
+            if shard.digest is not None or shard.lost or len(shard.open) != 1:
+                continue
+            if not self._may_send(shard):
+                continue
+            replica = self._choose(shard)
+            if replica and self._context.budget.spend(shard.service, now):
+                self._hedges += 1
+                self._send(shard, replica)
+
+    def _cut(self) -> None:
+        if self._in >= self._gather.needed:
+            self._finish()
+
+    def _finish(self) -> None:
+        if self._answer.done():
+            return
+        self._answer.set_result(self._build())
+
+    def _build(self) -> Response:
+        parts = [shard for shard in self._shards if shard.digest is not None]
+        missing = len(self._shards) - len(parts)
+        if len(parts) < self._gather.needed or not parts:
+            self._log("failed", "too few shards")
+            kind = Kind.TOO_FEW_SHARDS
+            return refuse(self._context, self._call, self._route, kind, len(parts))
+        body = merge_records((shard.body for shard in parts), self._gather.top)
+        self._log("answered", "whole" if not missing else "without some shards")
+        digests = [shard.digest for shard in parts]
+        return encode_gathered(self._call, digests, missing, body)
+
+    def _leave_open(self) -> None:
+        # What is still open tells how slow its replica is, and keeps its connection.
+        if any(shard.open for shard in self._shards):
+            asyncio.get_running_loop().call_later(LEAVE_S, self._cancel_open)
+
+    def _cancel_open(self) -> None:
+        for shard in self._shards:
+            for exchange in list(shard.open):
+                exchange.cancel()
+            shard.open.clear()
+
+    def _log(self, outcome: str, why: str) -> None:
+        context = self._context
+        now = context.now()
+        missing = [s.service for s in self._shards if s.digest is None]
+        duration_s = now - self._call.request.arrived
+        context.metrics.time("gather", self._route.name, duration_s)
+        context.metrics.count("missing_shards", self._route.name, len(missing))
+        context.metrics.count("hedges", self._route.name, self._hedges)
+        structlog.get_logger().info(
+            "query",
+            request=self._call.name,
+            route=self._route.name,
+            version=context.view.configuration.version,
+            outcome=outcome,
+            why=why,
+            ms=round(duration_s * 1000, 1),
+            left_ms=round((self._call.deadline - now) * 1000),
+            shards_in=self._in,
+            missing=missing,
+            tried={s.service: s.tried for s in self._shards if len(s.tried) > 1},
+            hedges=self._hedges,
+            retries=self._retries,
+            hedge_ms=round(
+                (self._schedule.hedge_at - self._call.request.arrived) * 1000, 1
+            ),
+        )
--- /dev/null
+++ b/src/anvilhoist/forward/refusal.py
@@ -0,0 +1,67 @@
+"""Answers without a result: their status, and when the caller may come back."""
+
+from __future__ import annotations
+
+import structlog
+
+from ..errors import ANSWERS, Kind, Ran
+from ..http.messages import Response
+from ..platform.edge import encode_refusal
+from ..world.model import Route
+from .call import Call
+from .context import Context
+
+RETRY_AFTER_S = 0.3  # s until a view or a replica may have changed
+RETRY_SHARE = 0.3  # of the time that the caller has left, at most
+
+
+def choose_retry_after(kind: Kind, left_s: float) -> float | None:
+    """Choose when a caller may come back, or None where that says nothing.
+
+    Parameters
+    ----------
+    kind : Kind
+        Why there is no result.
+    left_s : float
+        Time until the caller's deadline, in seconds.
+    """
+    if ANSWERS[kind].ran is not Ran.NO or ANSWERS[kind].status == 404:
+        return None
+    return max(0.0, min(RETRY_AFTER_S, RETRY_SHARE * left_s))
+
+
+def refuse(
+    context: Context, call: Call, route: Route | None, kind: Kind, found: int = 0
+) -> Response:
+    """Answer a call without a result.
+
+    Parameters
+    ----------
+    context : Context
+        What requests share.
+    call : Call
+        The caller's request.
+    route : Route or None
+        Its route, if there is one.
+    kind : Kind
+        Why there is no result.
+    found : int
+        Replicas or shards that there were.
+    """
+    view = context.view
+    now = context.now()
+    retry_after_s = choose_retry_after(kind, call.deadline - now)
+    context.metrics.count("refused", kind.value)
+    structlog.get_logger().info(
+        "refused",
+        request=call.name,
+        route=route.name if route else None,
+        kind=kind.value,
+        ran=ANSWERS[kind].ran.value,
+        found=found,
+        version=view.configuration.version if view.configuration else None,
+        view_age_s=round(now - view.heard_at, 2) if view.heard_at else None,
+        retry_after_s=retry_after_s,
+        ms=round((now - call.request.arrived) * 1000, 1),
+    )
+    return encode_refusal(ANSWERS[kind].status, retry_after_s)
--- /dev/null
+++ b/src/anvilhoist/forward/routes.py
@@ -0,0 +1,47 @@
+"""Find the route of a request, and the service of a route."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+from ..world.model import Configuration, Route
+
+
+@dataclass(slots=True)
+class RouteTable:
+    """Routes of one configuration by host, longest prefix first."""
+
+    configuration: Configuration
+    _by_host: dict[str, list[Route]] = field(init=False)
+
+    def __post_init__(self):
+        self._by_host = defaultdict(list)
+        for route in self.configuration.routes:
+            self._by_host[route.host.lower()].append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Route with the longest prefix that begins the path, or None."""
+        for route in self._by_host.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def split_service(route: Route, random: Random) -> str | None:
+    """Choose the service of a request in proportion to the weights.
+
+    A part that is short of replicas keeps its share; nothing moves to another part.
+    """
+    total = sum(weight for _, weight in route.services)
+    if total <= 0:
+        return None
+    point = random.random() * total
+    for service, weight in route.services:
+        point -= weight
+        if point < 0:
+            return service
+    return route.services[-1][0]
--- /dev/null
+++ b/src/anvilhoist/forward/single.py
@@ -0,0 +1,161 @@
+"""A request to one replica, tried again only where that is allowed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import structlog
+
+from ..errors import Failure, Kind
+from ..http.exchange import Outcome, Reply
+from ..http.messages import Response
+from ..platform.edge import pass_on, prepare_headers
+from ..upstreams.replica import Exchange, Replica
+from ..world.model import Route
+from .call import NEVER_RAN, Call, Verdict
+from .context import Context
+from .refusal import refuse
+from .timing import plan_schedule
+
+REJECTED_LIMIT = 5  # sends of one request, those that were rejected included
+
+
+class SingleRun:
+    """One request to a replica of one service."""
+
+    def __init__(self, context: Context, call: Call, route: Route, service: str):
+        self._context = context
+        self._call = call
+        self._route = route
+        self._service = service
+        self._headers = prepare_headers(call)
+        self._durations = context.usual.get(route.name, route.target_s)
+        self._schedule = plan_schedule(
+            route, call.request.arrived, call.deadline, self._durations.late_s
+        )
+        self._open: set[Exchange] = set()
+        self._tried: list[str] = []
+        self._runs = 0
+        self._sends = 0
+        self._replied: Reply | None = None
+        self._last: Failure | None = None
+        self._timers: list[asyncio.TimerHandle] = []
+        self._answer: asyncio.Future[Response] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    async def run(self) -> Response:
+        """Send, wait, and answer."""
+        context = self._context
+        now = context.now()
+        context.budget.add_request(self._service, now)
+        replica = context.choose(self._service, self._tried)
+        if replica is None or now >= self._schedule.end_at:
+            return refuse(context, self._call, self._route, Kind.NO_REPLICA)
+        loop = asyncio.get_running_loop()
+        end_s = self._schedule.end_at - now
+        self._timers.append(loop.call_later(end_s, self._finish, Kind.DEADLINE))
+        if self._route.repeatable:
+            hedge_s = max(0.0, self._schedule.hedge_at - now)
+            self._timers.append(loop.call_later(hedge_s, self._hedge))
+        try:
+            self._send(replica)
+            return await self._answer
+        finally:
+            for timer in self._timers:
+                timer.cancel()
+            for exchange in self._open:
+                exchange.cancel()
+
+    def _send(self, replica: Replica) -> None:
+        self._sends += 1
+        self._runs += 1
+        self._tried.append(replica.entry.instance)
+        exchange = self._context.send(
+            replica,
+            self._call,
+            self._headers,
+            self._schedule.end_at,
+            self._durations.median_s,
+            self._take,
+            fresh=not self._route.repeatable,
+        )
+        self._open.add(exchange)
+
+    def _take(self, exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
+        self._open.discard(exchange)
+        if self._answer.done():
+            return
+        if verdict is Verdict.DONE:
+            self._durations.add(self._context.now() - exchange.since)
+            self._deliver(outcome)
+            return
+        unsent = isinstance(outcome, Failure) and outcome.kind is Kind.CONNECT_FAILED
+        if unsent or verdict in NEVER_RAN:
+            self._runs -= 1
+        elif isinstance(outcome, Reply) and verdict is Verdict.FAILED:
+            self._replied = outcome
+        if isinstance(outcome, Failure):
+            self._last = outcome
+        if not self._open:
+            self._retry(unsent)
+
+    def _retry(self, unsent: bool) -> None:
+        context = self._context
+        now = context.now()
+        if self._may_send() and now < self._schedule.end_at:
+            replica = context.choose(self._service, self._tried)
+            replica = replica or context.choose(self._service, [])
+            if replica and (unsent or context.budget.spend(self._service, now)):
+                self._log("retried", replica.entry.instance)
+                self._send(replica)
+                return
+        self._finish(Kind.NO_REPLICA if self._runs == 0 else Kind.UPSTREAM_FAILED)
+
+    def _may_send(self) -> bool:
+        if self._sends >= REJECTED_LIMIT:
+            return False
+        most = self._route.attempts if self._route.repeatable else 1
+        return self._runs < most
+
+    def _hedge(self) -> None:
+        context = self._context
+        if self._answer.done() or len(self._open) != 1 or not self._may_send():
+            return
+        replica = context.choose(self._service, self._tried)
+        if replica and context.budget.spend(self._service, context.now()):
+            context.metrics.count("hedges", self._route.name)
+            self._log("hedged", replica.entry.instance)
+            self._send(replica)
+
+    def _deliver(self, reply: Reply) -> None:
+        self._log("answered", self._tried[-1])
+        duration_s = self._context.now() - self._call.request.arrived
+        self._context.metrics.time("single", self._route.name, duration_s)
+        self._answer.set_result(pass_on(reply))
+
+    def _finish(self, kind: Kind) -> None:
+        if self._answer.done():
+            return
+        if self._replied is not None:
+            self._deliver(self._replied)
+            return
+        detail = self._last.detail if self._last else ""
+        self._log("failed", detail)
+        self._answer.set_result(refuse(self._context, self._call, self._route, kind))
+
+    def _log(self, outcome: str, detail: str) -> None:
+        context = self._context
+        now = context.now()
+        structlog.get_logger().info(
+            "request",
+            request=self._call.name,
+            route=self._route.name,
+            service=self._service,
+            version=context.view.configuration.version,
+            outcome=outcome,
+            detail=detail,
+            tried=self._tried,
+            ms=round((now - self._call.request.arrived) * 1000, 1),
+            left_ms=round((self._call.deadline - now) * 1000),
+        )
--- /dev/null
+++ b/src/anvilhoist/front/__init__.py
@@ -0,0 +1,1 @@
+"""The process that serves callers."""
--- /dev/null
+++ b/src/anvilhoist/front/process.py
@@ -0,0 +1,270 @@
+"""Serve callers: put the parts together, and stop without cutting anyone short."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from dataclasses import dataclass, field
+
+import structlog
+
+from .. import __version__
+from ..clock import TimerService, read_boottime
+from ..directory import Directory
+from ..errors import SettingsError
+from ..forward.context import Context
+from ..forward.handler import Forwarder
+from ..http.messages import Request, Response
+from ..http.server import CHECK_S, ConnectionLimits, HttpServer
+from ..logs import configure_logs
+from ..metrics import Metrics
+from ..peers.exchange import PeerReader, answer_peer
+from ..peers.heartbeats import PERIOD_S, HeartbeatEndpoint
+from ..peers.members import Members
+from ..peers.messages import Heartbeat, State
+from ..platform.edge import (
+    asks_readiness,
+    encode_addresses,
+    encode_refusal,
+    read_resolve,
+)
+from ..platform.store import StoreClient
+from ..tasks import end_tasks, start_task
+from ..upstreams.budget import BudgetTerms, RetryBudget
+from ..upstreams.fleet import Replicas
+from ..upstreams.usual import UsualDurations
+from ..world.follow import Follower
+from ..world.model import Service
+from ..world.view import View
+from .settings import FrontSettings, read_front_settings
+from .stopping import plan_stop
+
+ADDRESS_KEEP_S = 1.0  # s; callers hear of a leaving VM within three times this
+LOG_FLUSH_S = 0.2  # s between two writes of the log
+SUMMARY_S = 5.0  # s between two lines that sum up the process's state
+
+
+@dataclass(slots=True)
+class Front:
+    """The process's parts.
+
+    Parameters
+    ----------
+    settings : FrontSettings
+        Settings in force.
+    """
+
+    settings: FrontSettings
+    path: str | None = None
+    state: State = State.STARTING
+    incarnation: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
+    timers: TimerService = field(default_factory=TimerService)
+    members: Members = field(init=False)
+    view: View = field(init=False)
+    replicas: Replicas = field(init=False)
+    context: Context = field(init=False)
+    callers: HttpServer = field(init=False)
+    _others: list[HttpServer] = field(default_factory=list)
+    _heartbeats: HeartbeatEndpoint = field(init=False)
+    _directory: Directory = field(init=False)
+    _store: StoreClient = field(init=False)
+    _beat: int = 0
+
+    def __post_init__(self):
+        settings = self.settings
+        now = read_boottime
+        self.members = Members(settings.host, settings.seed_hosts, now)
+        self.replicas = Replicas(
+            now, self._find_service, self._count_vms, self.members.is_first_for
+        )
+        self.view = View(now, self.replicas.put)
+        bounds = settings.bounds
+        terms = BudgetTerms(
+            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+        )
+        self.context = Context(
+            now,
+            settings.data_centre,
+            self.view,
+            self.replicas,
+            RetryBudget(terms, self._count_vms),
+            UsualDurations(),
+            Metrics(settings.vm, "front"),
+        )
+        forwarder = Forwarder(self.context)
+        self.callers = HttpServer("callers", forwarder.handle, self._read_limits)
+        self._heartbeats = HeartbeatEndpoint(
+            self.members, settings.peers_port, self._describe
+        )
+        self._directory = Directory(self.members)
+        self._store = StoreClient(settings.store)
+
+    async def start(self) -> list[asyncio.Task]:
+        """Listen, and start to follow the store.
+
+        Returns
+        -------
+        list of asyncio.Task
+            Tasks that run until the end.
+        """
+        settings = self.settings
+        listen = settings.listen
+        await self._heartbeats.listen(settings.host)
+        await self._listen("peers", listen.peers, self._answer_peer)
+        await self._listen("readiness", listen.readiness, self._answer_readiness)
+        if listen.directory is not None:
+            await self._listen("directory", listen.directory, self._answer_directory)
+        await self._listen(
+            "metrics", f"{settings.host}:{settings.metrics_port}", self._answer_metrics
+        )
+        await self.callers.listen(listen.callers)
+        follower = Follower(
+            self.view, self._store, PeerReader(self.members).ask, read_boottime
+        )
+        self._subscribe()
+        return [start_task(follower.run()), start_task(self.timers.run())]
+
+    async def stop(self) -> None:
+        """Answer what has been read, send callers elsewhere, and end."""
+        self.state = State.LEAVING
+        self.callers.drain()
+        self._heartbeats.send()
+        plan = plan_stop(read_boottime(), self.settings.bounds.stop_s, ADDRESS_KEEP_S)
+        while not plan.may_end(read_boottime(), self.callers.busy):
+            await asyncio.sleep(0.05)
+            if plan.closes_idle(read_boottime()):
+                self.callers.close_idle()
+            if plan.refuses_new(read_boottime()):
+                self.callers.stop_listening()
+        self.callers.stop_listening()
+        self.callers.close_idle()
+        self._heartbeats.send()
+        await asyncio.sleep(0.05)
+
+    def _subscribe(self) -> None:
+        timers = self.timers
+        timers.subscribe(PERIOD_S, self._heartbeats.send)
+        timers.subscribe(PERIOD_S, self.members.check)
+        timers.subscribe(CHECK_S, self.replicas.check)
+        timers.subscribe(CHECK_S, self.view.drop_missing)
+        timers.subscribe(CHECK_S, self._check_ready)
+        for server in (self.callers, *self._others):
+            timers.subscribe(CHECK_S, server.check_limits)
+        timers.subscribe(SUMMARY_S, self._sum_up)
+
+    def _check_ready(self, now: float) -> None:
+        if self.state is State.STARTING and self.view.known:
+            self.state = State.READY
+            self._heartbeats.send()
+            structlog.get_logger().info(
+                "ready", version=self.view.configuration.version
+            )
+
+    def _sum_up(self, now: float) -> None:
+        view = self.view
+        structlog.get_logger().info(
+            "state",
+            state=self.state.value,
+            version=view.configuration.version if view.configuration else None,
+            view_age_s=round(now - view.heard_at, 2) if view.heard_at else None,
+            replicas=len(self.replicas.by_instance),
+            dark=sum(r.health.dark for r in self.replicas.by_instance.values()),
+            peers=len(self.members.list_heard()),
+            store_calls=self._store.calls,
+            callers=len(self.callers.connections),
+        )
+
+    async def _listen(self, name: str, address: str, handle) -> None:
+        server = HttpServer(name, handle)
+        await server.listen(address)
+        self._others.append(server)
+
+    async def _answer_peer(self, request: Request) -> Response:
+        return await answer_peer(self.view, request)
+
+    async def _answer_readiness(self, request: Request) -> Response:
+        if not asks_readiness(request):
+            return Response(404)
+        return Response(200 if self.state is State.READY else 503)
+
+    async def _answer_directory(self, request: Request) -> Response:
+        place = read_resolve(request)
+        if place is None:
+            return Response(404)
+        addresses = self._directory.list_addresses(self._describe(), *place)
+        if not addresses:
+            return encode_refusal(503, ADDRESS_KEEP_S)
+        keep_s = min(ADDRESS_KEEP_S, self.settings.bounds.address_keep_s)
+        return encode_addresses(addresses, keep_s)
+
+    async def _answer_metrics(self, request: Request) -> Response:
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        return Response(200, headers, self.context.metrics.render().encode())
+
+    def _describe(self) -> Heartbeat:
+        self._beat += 1
+        settings = self.settings
+        return Heartbeat(
+            settings.vm,
+            self.incarnation,
+            self._beat,
+            settings.host,
+            settings.listen.callers,
+            settings.listen.peers,
+            settings.data_centre,
+            settings.region,
+            self.state,
+            self.view.revision,
+            self.members.list_heard(),
+        )
+
+    def _find_service(self, name: str) -> Service | None:
+        configuration = self.view.configuration
+        return configuration.services.get(name) if configuration else None
+
+    def _count_vms(self) -> int:
+        return self.members.fleet_size
+
+    def _read_limits(self) -> ConnectionLimits:
+        configuration = self.view.configuration
+        return configuration.limits if configuration else ConnectionLimits()
+
+
+async def serve(settings: FrontSettings, path: str | None) -> int:
+    """Serve until SIGTERM.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    buffer = configure_logs(settings.vm)
+    log = structlog.get_logger()
+    log.info("start", version=__version__, host=settings.host)
+    front = Front(settings, path)
+    front.timers.subscribe(LOG_FLUSH_S, buffer.flush)
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stopped.set)
+    loop.add_signal_handler(signal.SIGINT, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path)
+    tasks = await front.start()
+    await stopped.wait()
+    log.info("stop_begins", requests=front.callers.busy)
+    await front.stop()
+    await end_tasks(tasks)
+    log.info("stop", requests=front.callers.busy)
+    buffer.flush()
+    return 0
+
+
+def _reload(settings: FrontSettings, path: str | None) -> None:
+    log = structlog.get_logger()
+    try:
+        found = read_front_settings(path)
+    except SettingsError as error:
+        log.error("settings_refused", problem=str(error), kept="the settings in force")
+        return
+    changed = found != settings
+    log.info("settings_read", changed=changed, in_force="at the next start")
--- /dev/null
+++ b/src/anvilhoist/http/connect.py
@@ -0,0 +1,42 @@
+"""Open connections to servers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from .exchange import ServerConnection
+
+
+def _ignore(connection: ServerConnection) -> None:
+    return
+
+
+async def open_connection(
+    address: str,
+    limit_s: float,
+    on_closed: Callable[[ServerConnection], None] = _ignore,
+) -> ServerConnection:
+    """Open a connection to a server.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    limit_s : float
+        Longest time to wait, in seconds.
+    on_closed : callable
+        Told when the connection has ended.
+
+    Raises
+    ------
+    OSError
+        If the server can't be reached in time; a timeout is one of these.
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(limit_s):
+        _, connection = await loop.create_connection(
+            lambda: ServerConnection(on_closed), host, int(port)
+        )
+    return connection
--- /dev/null
+++ b/src/anvilhoist/platform/store.py
@@ -0,0 +1,160 @@
+"""Read and watch the users' store."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlencode
+
+import structlog
+
+from ..errors import Failure, Kind
+from ..http.connect import open_connection
+from ..http.exchange import Reply, ServerConnection
+from ..http.messages import encode_request
+from ..world.model import Change, DataCentreOut, Published
+from ..world.source import HistoryGone, Update
+from . import names
+from .documents import decode_item, decode_removal
+
+CONNECT_LIMIT_S = 1.0  # s; the store answers in milliseconds
+READ_LIMIT_S = 1.5  # s for one read, several hundred times its usual time
+WATCH_SLACK_S = 0.8  # s beyond the wait that was asked for
+ALL_KEYS = ""
+
+
+@dataclass(slots=True)
+class StoreClient:
+    """The one client of the store; it carries one call at a time.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    """
+
+    address: str
+    calls: int = 0
+    _connection: ServerConnection | None = None
+
+    async def read_all(self) -> Published | Failure:
+        """Read everything that is published.
+
+        Returns
+        -------
+        Published or Failure
+            As of the revision at which the first page was read.
+        """
+        revision: int | None = None
+        changes: list[Change] = []
+        after = ""
+        while True:
+            query = {"path-prefix": ALL_KEYS}
+            if after:
+                query["after"] = after
+            page = await self._call(names.RANGE_CALL, query, READ_LIMIT_S)
+            if isinstance(page, Failure):
+                return page
+            try:
+                revision = page["at"] if revision is None else revision
+                items = page["items"]
+                changes += _decode_items(items)
+                if not page.get("has-more"):
+                    return Published(int(revision), changes)
+                after = items[-1]["key"]
+            except (KeyError, IndexError, TypeError, ValueError) as error:
+                return Failure(Kind.STORE_UNREADABLE, f"range: {error!r}")
+
+    async def watch(self, after: int, wait_s: float) -> Update | HistoryGone | Failure:
+        """Wait for changes after a revision.
+
+        Parameters
+        ----------
+        after : int
+            Revision up to which all is known.
+        wait_s : float
+            How long the store may wait for a change, in seconds.
+        """
+        query = {
+            "path-prefix": ALL_KEYS,
+            "after": str(after),
+            "wait-ms": str(int(wait_s * 1000)),
+        }
+        found = await self._call(names.WATCH_CALL, query, wait_s + WATCH_SLACK_S)
+        if isinstance(found, Failure):
+            if found.kind is Kind.STORE_HISTORY_GONE:
+                return HistoryGone()
+            return found
+        try:
+            return Update(int(found["at"]), _decode_events(found["events"]))
+        except (KeyError, TypeError, ValueError) as error:
+            return Failure(Kind.STORE_UNREADABLE, f"watch: {error!r}")
+
+    def close(self) -> None:
+        """Give up the connection; the next call opens another."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _call(
+        self, path: str, query: dict[str, str], limit_s: float
+    ) -> dict[str, Any] | Failure:
+        self.calls += 1
+        try:
+            async with asyncio.timeout(limit_s):
+                reply = await self._exchange(path, query)
+        except TimeoutError:
+            self.close()
+            return Failure(Kind.STORE_UNREACHED, f"{path}: no answer in time")
+        except OSError as error:
+            self.close()
+            return Failure(Kind.STORE_UNREACHED, f"{path}: {error}")
+        if isinstance(reply, Failure):
+            self.close()
+            return Failure(Kind.STORE_UNREACHED, f"{path}: {reply.detail}")
+        if reply.status == 410:
+            return Failure(Kind.STORE_HISTORY_GONE, path)
+        if reply.status != 200:
+            return Failure(Kind.STORE_UNREACHED, f"{path}: status {reply.status}")
+        try:
+            return json.loads(reply.body)
+        except ValueError as error:
+            return Failure(Kind.STORE_UNREADABLE, f"{path}: {error}")
+
+    async def _exchange(self, path: str, query: dict[str, str]) -> Reply | Failure:
+        if self._connection is None or not self._connection.reusable:
+            self.close()
+            self._connection = await open_connection(self.address, CONNECT_LIMIT_S)
+        target = f"{path}?{urlencode(query)}".encode()
+        data = encode_request(b"GET", target, [(b"host", self.address.encode())], b"")
+        done: asyncio.Future = asyncio.get_running_loop().create_future()
+
+        def deliver(outcome: Reply | Failure) -> None:
+            if not done.done():
+                done.set_result(outcome)
+
+        self._connection.send(data, lambda status, headers: True, deliver)
+        return await done
+
+
+def _decode_items(items: list[dict[str, Any]]) -> list[Change]:
+    found = (decode_item(item["key"], item["value"]) for item in items)
+    return [change for change in found if change is not None]
+
+
+def _decode_events(events: list[dict[str, Any]]) -> list[Change]:
+    changes: list[Change] = []
+    for event in events:
+        if event.get("deleted"):
+            change = decode_removal(event["key"])
+        else:
+            change = decode_item(event["key"], event["value"])
+        if change is not None:
+            changes.append(change)
+        if isinstance(change, DataCentreOut):
+            structlog.get_logger().info(
+                "data_centre_order", name=change.data_centre, out=change.out
+            )
+    return changes
--- /dev/null
+++ b/src/anvilhoist/searches/__init__.py
@@ -0,0 +1,1 @@
+"""Searches and bookings over replicas that one VM each owns."""
--- a/src/anvilhoist/bookings.py
+++ b/src/anvilhoist/searches/bookings.py
@@ -8,11 +8,11 @@
 
 from expression import Error, Ok, Result
 
+from ..errors import Failure, Kind
+from ..tasks import start_task
 from .decisions import DecisionLog
-from .errors import Failure, Kind
 from .messages import Book, OutcomeAsk, TicketAsk
 from .replicas import Replicas, Station
-from .tasks import start_task
 from .tickets import State, Ticket, TicketBook
 from .upstream import BookAsk
 from .view import View
--- a/src/anvilhoist/callers.py
+++ b/src/anvilhoist/searches/callers.py
@@ -23,11 +23,11 @@
 from sanic.response import json as json_response
 from sanic.response import text as text_response
 
+from ..errors import Failure, Kind
+from ..settings import BORDER, adapter, describe
 from .documents import DEADLINE_MAX_MS
-from .errors import Failure, Kind
 from .merge import SearchAnswer
 from .operations import PATHS, Observed, answer_operator
-from .settings import BORDER, adapter, describe
 
 T = TypeVar("T")
 
--- a/src/anvilhoist/dispatch.py
+++ b/src/anvilhoist/searches/dispatch.py
@@ -13,10 +13,13 @@
 from expression import Result
 from websockets.asyncio.server import Server
 
+from ..clock import TimerService
+from ..errors import Failure
+from ..process import run_binary
+from ..settings import ProcessSettings, read_settings
+from ..tasks import start_task
 from .bookings import Bookings
-from .clock import TimerService
 from .documents import DEADLINE_MAX_MS
-from .errors import Failure
 from .link import HttpAnswer, Reply, serve_links
 from .messages import (
     Book,
@@ -32,11 +35,8 @@
 from .node import Node, run_node
 from .operations import ReplicaState, answer_operator
 from .ownership import Ownership
-from .process import run_binary
 from .replicas import Replicas
-from .settings import ProcessSettings, read_settings
 from .subrequests import SubRequests
-from .tasks import start_task
 from .tickets import TicketBook
 
 HANDOVER_LIMIT_S = 5.0
--- a/src/anvilhoist/documents.py
+++ b/src/anvilhoist/searches/documents.py
@@ -7,8 +7,8 @@
 
 from pydantic import Field
 
-from .errors import SettingsError
-from .settings import BORDER, Address, Name, parse_toml
+from ..errors import SettingsError
+from ..settings import BORDER, Address, Name, parse_toml
 
 CONFIG = "config"
 VMS = "vms"
--- a/src/anvilhoist/entry.py
+++ b/src/anvilhoist/searches/entry.py
@@ -13,21 +13,21 @@
 from expression import Error, Ok, Result
 from sanic.server import AsyncioServer
 
+from ..clock import TimerService
+from ..errors import Failure, Kind, Ran
+from ..process import run_binary
+from ..settings import ProcessSettings, read_settings
 from .balance import Balancer
 from .callers import Addresses, BookingCall, SearchCall, TicketCall, build_app
-from .clock import TimerService
 from .documents import DEADLINE_MAX_MS, Profile
-from .errors import Failure, Kind, Ran
 from .link import Link, PeerLostError, PeerUnreachedError
 from .membership import SYNC_PERIOD_S, VIEW_TTL_S
 from .merge import SearchAnswer
 from .messages import Book, BookingReply, Message, OutcomeAsk, TicketAsk
 from .node import Node, run_node
 from .operations import ReplicaState
-from .process import run_binary
 from .routing import Routing
 from .search import run_search
-from .settings import ProcessSettings, read_settings
 from .tickets import parse_ticket
 
 WINDOW_PERIOD_S = 2.0
--- a/src/anvilhoist/gate.py
+++ b/src/anvilhoist/searches/gate.py
@@ -14,8 +14,8 @@
 
 from expression import Error, Ok, Result
 
+from ..errors import Failure, Kind
 from .documents import Group
-from .errors import Failure, Kind
 
 IDLE_TRUST_S = 0.5
 SLOW_FACTOR = 4.0
--- a/src/anvilhoist/link.py
+++ b/src/anvilhoist/searches/link.py
@@ -17,8 +17,8 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 from websockets.http11 import Request
 
+from ..tasks import end_tasks, start_task
 from .messages import DecodeError, Frame, Message, decode_frame, encode_frame
-from .tasks import end_tasks, start_task
 
 MESSAGE_LIMIT_BYTES = 8 * 1024 * 1024
 QUEUE_LIMIT_FRAMES = 256
--- a/src/anvilhoist/messages.py
+++ b/src/anvilhoist/searches/messages.py
@@ -12,7 +12,7 @@
 
 import cbor2
 
-from .errors import Kind
+from ..errors import Kind
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/anvilhoist/node.py
+++ b/src/anvilhoist/searches/node.py
@@ -7,18 +7,18 @@
 from functools import partial
 from typing import ClassVar
 
-from .clock import TimerService
+from ..clock import TimerService
+from ..metrics import Metrics
+from ..process import ClosableServer, close_server, wait_for_stop
+from ..settings import ProcessSettings
+from ..tasks import start_task
 from .decisions import DecisionLog, configure_logs
 from .documents import KEYS
 from .link import new_incarnation
 from .membership import Membership
 from .messages import SyncReply
-from .metrics import Metrics
 from .platform import PlatformClient
-from .process import ClosableServer, close_server, wait_for_stop
-from .settings import ProcessSettings
 from .sync import Links, Synchroniser
-from .tasks import start_task
 from .view import View
 
 
--- a/src/anvilhoist/operate.py
+++ b/src/anvilhoist/searches/operate.py
@@ -11,11 +11,11 @@
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
 
+from ..errors import Failure, Kind, SettingsError, UsageError
+from ..process import run_binary
 from .decisions import Decision
 from .documents import MODELS, parse_document
-from .errors import Failure, Kind, SettingsError, UsageError
 from .operations import FleetMember, ProcessState
-from .process import run_binary
 
 READ_TIMEOUT_S = 2.0
 NOT_ALL_READ_EXIT_CODE = 4
--- a/src/anvilhoist/operations.py
+++ b/src/anvilhoist/searches/operations.py
@@ -10,10 +10,10 @@
 from typing import Protocol
 from urllib.parse import parse_qs, urlsplit
 
+from ..metrics import Metrics
 from .decisions import DecisionLog
 from .documents import KEYS
 from .link import HttpAnswer
-from .metrics import Metrics
 from .sync import Links
 from .view import View
 
--- a/src/anvilhoist/platform.py
+++ b/src/anvilhoist/searches/platform.py
@@ -14,9 +14,9 @@
 from expression import Error, Ok, Result
 from pydantic import TypeAdapter, ValidationError
 
-from .errors import Failure, Kind
+from ..errors import Failure, Kind
+from ..settings import BORDER
 from .messages import Published
-from .settings import BORDER
 
 CALL_MARGIN_S = 2.0
 
--- a/src/anvilhoist/query.py
+++ b/src/anvilhoist/searches/query.py
@@ -10,8 +10,8 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from ..errors import Failure, Kind
 from .documents import Profile, Snapshot
-from .errors import Failure, Kind
 from .link import Link, PeerUnreachedError
 from .merge import Merger
 from .messages import Cancel, Message, SubBatch, SubReplies, SubReply, SubRequest
--- a/src/anvilhoist/replicas.py
+++ b/src/anvilhoist/searches/replicas.py
@@ -8,15 +8,15 @@
 
 from expression import Error, Result
 
+from ..errors import Failure, Kind
+from ..metrics import Metrics
+from ..tasks import start_task
 from .decisions import DecisionLog
 from .documents import Group, Profile, Replica
-from .errors import Failure, Kind
 from .gate import Gate
 from .membership import Membership
 from .messages import Handed
-from .metrics import Metrics
 from .ownership import Ownership
-from .tasks import start_task
 from .upstream import Attempt, BookAsk, Confirmation, Part, SearchAsk, UpstreamClient
 from .view import View
 
--- a/src/anvilhoist/routing.py
+++ b/src/anvilhoist/searches/routing.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..metrics import Metrics, Window
 from .balance import Balancer
 from .budget import Budget
 from .decisions import DecisionLog
 from .documents import Profile
 from .link import Link
-from .metrics import Metrics, Window
 from .placement import Placement
 from .sync import Links
 from .view import View
--- a/src/anvilhoist/search.py
+++ b/src/anvilhoist/searches/search.py
@@ -4,8 +4,8 @@
 
 from expression import Error, Ok, Result
 
+from ..errors import Failure, Kind
 from .documents import Directory, Profile, Snapshot
-from .errors import Failure, Kind
 from .merge import Merger, SearchAnswer
 from .query import Query
 from .routing import Routing
--- a/src/anvilhoist/shards.py
+++ b/src/anvilhoist/searches/shards.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from .errors import Kind
+from ..errors import Kind
 from .link import Link
 
 
--- a/src/anvilhoist/subrequests.py
+++ b/src/anvilhoist/searches/subrequests.py
@@ -8,12 +8,12 @@
 
 from expression import Error
 
-from .errors import Failure, Kind
+from ..errors import Failure, Kind
+from ..metrics import Metrics
+from ..tasks import start_task
 from .link import Reply
 from .messages import Cancel, SubBatch, SubReplies, SubReply, SubRequest
-from .metrics import Metrics
 from .replicas import Replicas, Served, Station
-from .tasks import start_task
 from .upstream import Attempt, Part, SearchAsk
 
 GATHER_S = 0.001
--- a/src/anvilhoist/sync.py
+++ b/src/anvilhoist/searches/sync.py
@@ -12,16 +12,16 @@
 
 import numpy as np
 
+from ..metrics import Metrics
+from ..settings import ProcessSettings
+from ..tasks import end_tasks, start_task
 from .decisions import DecisionLog
 from .documents import KEYS
 from .link import Link, PeerLostError, PeerUnreachedError, Traffic
 from .membership import SYNC_PERIOD_S, Membership, list_cell
 from .messages import Handed, Sync, SyncReply
-from .metrics import Metrics
 from .placement import choose_watchers, score
 from .platform import PlatformClient, Reading
-from .settings import ProcessSettings
-from .tasks import end_tasks, start_task
 from .view import View
 
 SYNC_TIMEOUT_S = 0.5
--- a/src/anvilhoist/tickets.py
+++ b/src/anvilhoist/searches/tickets.py
@@ -14,7 +14,7 @@
 
 from expression import Error, Ok, Result
 
-from .errors import Failure, Kind
+from ..errors import Failure, Kind
 
 TICKET_LIFE_S = 60.0
 OUTCOME_LIFE_S = 600.0
--- a/src/anvilhoist/upstream.py
+++ b/src/anvilhoist/searches/upstream.py
@@ -19,9 +19,9 @@
 from pydantic import TypeAdapter, ValidationError
 from yarl import URL
 
-from .errors import Failure, Kind
+from ..errors import Failure, Kind
+from ..settings import BORDER
 from .messages import Hit
-from .settings import BORDER
 
 ANSWER_GRACE_S = 0.05
 CANCEL_TIMEOUT_S = 0.1
--- a/src/anvilhoist/view.py
+++ b/src/anvilhoist/searches/view.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from ..errors import SettingsError
 from .documents import (
     CONFIG,
     DIRECTORY,
@@ -20,7 +21,6 @@
     Vms,
     parse_document,
 )
-from .errors import SettingsError
 from .messages import Published
 
 Listener = Callable[[str], None]
--- a/src/anvilhoist/settings.py
+++ b/src/anvilhoist/settings.py
@@ -116,8 +116,8 @@
     return f"{key}: found {found}; {item['msg'].lower()}"
 
 
-def read_settings(path: str) -> ProcessSettings:
-    """Read and validate the settings file of a process.
+def read_document(path: str, model: type[T]) -> T:
+    """Read and validate a TOML file.
 
     Raises
     ------
@@ -128,4 +128,15 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(path, (f"cannot be read: {error}",)) from None
-    return parse_toml(path, text, ProcessSettings)
+    return parse_toml(path, text, model)
+
+
+def read_settings(path: str) -> ProcessSettings:
+    """Read and validate the settings file of a process of the search tier.
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or is not valid.
+    """
+    return read_document(path, ProcessSettings)
--- /dev/null
+++ b/src/anvilhoist/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Replicas: connections, what is believed of them, and which one to use."""
--- /dev/null
+++ b/src/anvilhoist/world/view.py
@@ -0,0 +1,170 @@
+"""The view of the world that every decision of this process rests on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import structlog
+
+from .model import (
+    Change,
+    Configuration,
+    ConfigurationChanged,
+    DataCentreOut,
+    Published,
+    ReplicaChanged,
+    ReplicaEntry,
+    ReplicaGone,
+)
+
+# s after the store's return in which a live replica's entry is back, see the letter.
+RETURN_GRACE_S = 2.3
+
+
+@dataclass(slots=True)
+class View:
+    """Configuration in force, replicas in use, data centres that are out.
+
+    Parameters
+    ----------
+    now : callable
+        Clock, in seconds.
+    on_replica : callable
+        Told of an instance and its entry, or None when it must not be used.
+    """
+
+    now: Callable[[], float]
+    on_replica: Callable[[str, ReplicaEntry | None], None]
+    configuration: Configuration | None = None
+    revision: int = 0
+    entries: dict[str, ReplicaEntry] = field(default_factory=dict)
+    out: set[str] = field(default_factory=set)
+    heard_at: float | None = None
+    configured_at: float = 0.0
+    _missing_since: dict[str, float] = field(default_factory=dict)
+    _doubt_until: float = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Whether a configuration is in force."""
+        return self.configuration is not None
+
+    def apply(self, revision: int, changes: list[Change]) -> None:
+        """Take over changes in the order in which they were made."""
+        for change in changes:
+            self._apply_one(change)
+        self.revision = max(self.revision, revision)
+        self.heard_at = self.now()
+
+    def replace(self, published: Published) -> None:
+        """Take over all that is published, and drop what is not in it.
+
+        A source that is behind this view changes nothing.
+        """
+        if published.revision < self.revision:
+            structlog.get_logger().info(
+                "published_is_old", revision=published.revision, known=self.revision
+            )
+            return
+        present = {
+            change.entry.instance
+            for change in published.changes
+            if isinstance(change, ReplicaChanged)
+        }
+        out = {
+            change.data_centre
+            for change in published.changes
+            if isinstance(change, DataCentreOut)
+        }
+        for instance in [name for name in self.entries if name not in present]:
+            self._apply_one(ReplicaGone(instance))
+        for data_centre in self.out - out:
+            self._apply_one(DataCentreOut(data_centre, False))
+        self.apply(published.revision, published.changes)
+
+    def regained(self, outage_s: float) -> None:
+        """Keep replicas whose entry lapsed for a while after an outage."""
+        self._doubt_until = self.now() + RETURN_GRACE_S
+        structlog.get_logger().info("entries_in_doubt", outage_s=round(outage_s, 2))
+
+    def drop_missing(self, now: float) -> None:
+        """Stop to use replicas whose entry did not come back in time."""
+        if not self._missing_since or now < self._doubt_until:
+            return
+        for instance in list(self._missing_since):
+            self._remove(instance, "entry did not return")
+
+    def list_published(self) -> Published:
+        """All that this view holds, for another process."""
+        changes: list[Change] = [
+            ReplicaChanged(entry)
+            for entry in self.entries.values()
+            if entry.instance not in self._missing_since
+        ]
+        changes += [DataCentreOut(name, True) for name in sorted(self.out)]
+        if self.configuration is not None:
+            changes.append(ConfigurationChanged(self.configuration))
+        return Published(self.revision, changes)
+
+    def _apply_one(self, change: Change) -> None:
+        match change:
+            case ConfigurationChanged(configuration):
+                self._configure(configuration)
+            case ReplicaChanged(entry):
+                self._put(entry)
+            case ReplicaGone(instance):
+                self._miss(instance)
+            case DataCentreOut(data_centre, out):
+                self._take_out(data_centre, out)
+
+    def _configure(self, configuration: Configuration) -> None:
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        self.configured_at = self.now()
+        structlog.get_logger().info(
+            "configuration_in_force",
+            version=configuration.version,
+            before=current.version if current else None,
+            routes=len(configuration.routes),
+        )
+
+    def _put(self, entry: ReplicaEntry) -> None:
+        known = self.entries.get(entry.instance)
+        if known is not None and entry.born_ms < known.born_ms:
+            return
+        self._missing_since.pop(entry.instance, None)
+        self.entries[entry.instance] = entry
+        if known != entry:
+            self.on_replica(entry.instance, entry)
+        if known is None or known.draining != entry.draining:
+            structlog.get_logger().info(
+                "replica_listed",
+                replica=entry.instance,
+                service=entry.service,
+                draining=entry.draining,
+                cold_s=entry.cold_s,
+            )
+
+    def _miss(self, instance: str) -> None:
+        if instance not in self.entries:
+            return
+        if self.now() < self._doubt_until:
+            self._missing_since.setdefault(instance, self.now())
+            return
+        self._remove(instance, "entry removed")
+
+    def _remove(self, instance: str, why: str) -> None:
+        self._missing_since.pop(instance, None)
+        if self.entries.pop(instance, None) is None:
+            return
+        structlog.get_logger().info("replica_gone", replica=instance, why=why)
+        self.on_replica(instance, None)
+
+    def _take_out(self, data_centre: str, out: bool) -> None:
+        if out == (data_centre in self.out):
+            return
+        self.out.symmetric_difference_update({data_centre})
+        structlog.get_logger().info("data_centre_out", name=data_centre, out=out)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,15 +7,15 @@
 import numpy as np
 
 from anvilhoist.clock import TimerService
-from anvilhoist.decisions import DecisionLog
-from anvilhoist.dispatch import URGENT_WAIT_S
-from anvilhoist.documents import CONFIG, DIRECTORY, KEYS, VMS
-from anvilhoist.membership import SYNC_PERIOD_S, Membership
-from anvilhoist.messages import Handed, Published, Sync, SyncReply
 from anvilhoist.metrics import Metrics
-from anvilhoist.ownership import Ownership
-from anvilhoist.replicas import Replicas
-from anvilhoist.view import View
+from anvilhoist.searches.decisions import DecisionLog
+from anvilhoist.searches.dispatch import URGENT_WAIT_S
+from anvilhoist.searches.documents import CONFIG, DIRECTORY, KEYS, VMS
+from anvilhoist.searches.membership import SYNC_PERIOD_S, Membership
+from anvilhoist.searches.messages import Handed, Published, Sync, SyncReply
+from anvilhoist.searches.ownership import Ownership
+from anvilhoist.searches.replicas import Replicas
+from anvilhoist.searches.view import View
 
 STEP_S = 0.05
 LONGEST_WORK_S = 2.0
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -127,7 +127,7 @@
 @pytest.mark.process
 class TestOperatorsCommand:
     def run(self, *arguments: str) -> subprocess.CompletedProcess:
-        command = [sys.executable, "-m", "anvilhoist.operate", *arguments]
+        command = [sys.executable, "-m", "anvilhoist.searches.operate", *arguments]
         return subprocess.run(command, capture_output=True, text=True, timeout=30)
 
     def test_status_lists_each_process(self, fleet: FleetRunner):
@@ -173,7 +173,7 @@
     @pytest.mark.parametrize("module", ["entry", "dispatch", "operate"])
     def test_version_and_help(self, module):
         for flag in ("--version", "--help"):
-            command = [sys.executable, "-m", f"anvilhoist.{module}", flag]
+            command = [sys.executable, "-m", f"anvilhoist.searches.{module}", flag]
             result = subprocess.run(command, capture_output=True, text=True, timeout=30)
             assert result.returncode == 0, result.stderr
             assert result.stdout or result.stderr
@@ -190,7 +190,7 @@
         ],
     )
     def test_wrong_line_starts_nothing(self, module, arguments, code):
-        command = [sys.executable, "-m", f"anvilhoist.{module}", *arguments]
+        command = [sys.executable, "-m", f"anvilhoist.searches.{module}", *arguments]
         result = subprocess.run(command, capture_output=True, text=True, timeout=30)
         assert result.returncode == code, result.stderr
         assert "start" not in result.stdout
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,7 +3,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from anvilhoist.documents import CONFIG, DIRECTORY, VMS
+from anvilhoist.searches.documents import CONFIG, DIRECTORY, VMS
 from fakes import Cell, write_config, write_directory, write_vms
 
 scenarios("features/decisions/control.feature")
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -5,9 +5,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from anvilhoist.documents import Group
 from anvilhoist.errors import Failure, Kind
-from anvilhoist.gate import IDLE_TRUST_S, Gate
+from anvilhoist.searches.documents import Group
+from anvilhoist.searches.gate import IDLE_TRUST_S, Gate
 from fakes import FakeClock
 
 GROUP = Group(slots=3, connections=30, replicas={}, cold_slots=1, ramp_ms=1000)
--- a/tests/test_merge.py
+++ b/tests/test_merge.py
@@ -3,10 +3,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from anvilhoist.budget import Budget
-from anvilhoist.documents import Snapshot
-from anvilhoist.merge import Merger
-from anvilhoist.messages import (
+from anvilhoist.metrics import Window
+from anvilhoist.searches.budget import Budget
+from anvilhoist.searches.documents import Snapshot
+from anvilhoist.searches.merge import Merger
+from anvilhoist.searches.messages import (
     BookingReply,
     Frame,
     Handed,
@@ -18,7 +19,6 @@
     decode_frame,
     encode_frame,
 )
-from anvilhoist.metrics import Window
 
 SHARDS = ("s0", "s1", "s2", "s3")
 PARTS = st.lists(
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,8 +3,8 @@
 import numpy as np
 import pytest
 
-from anvilhoist.documents import CONFIG, VMS
-from anvilhoist.membership import TAKEOVER_WAIT_S
+from anvilhoist.searches.documents import CONFIG, VMS
+from anvilhoist.searches.membership import TAKEOVER_WAIT_S
 from fakes import Cell, write_config, write_vms
 
 SETTLED_S = TAKEOVER_WAIT_S + 1.5
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-from anvilhoist.documents import Group, Replica, Vm, Vms
-from anvilhoist.placement import choose_owners, rank_vms
+from anvilhoist.searches.documents import Group, Replica, Vm, Vms
+from anvilhoist.searches.placement import choose_owners, rank_vms
 
 CENTRES = ("vaxjo", "alvesta", "ljungby", "vaxjo")
 
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -8,15 +8,15 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from anvilhoist.balance import Balancer
 from anvilhoist.clock import read_boottime
-from anvilhoist.decisions import DecisionLog
-from anvilhoist.documents import CONFIG, DIRECTORY, VMS, Profile
-from anvilhoist.messages import Hit, Published, SubBatch, SubReplies, SubReply
 from anvilhoist.metrics import Metrics
-from anvilhoist.routing import Routing
-from anvilhoist.search import run_search
-from anvilhoist.view import View
+from anvilhoist.searches.balance import Balancer
+from anvilhoist.searches.decisions import DecisionLog
+from anvilhoist.searches.documents import CONFIG, DIRECTORY, VMS, Profile
+from anvilhoist.searches.messages import Hit, Published, SubBatch, SubReplies, SubReply
+from anvilhoist.searches.routing import Routing
+from anvilhoist.searches.search import run_search
+from anvilhoist.searches.view import View
 from fakes import write_config, write_directory, write_vms
 
 scenarios("features/decisions/queries.feature")
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 
 from anvilhoist.bench.topology import make_plan, write_directory, write_vms
-from anvilhoist.documents import DIRECTORY, VMS, parse_document
-from anvilhoist.placement import Placement
+from anvilhoist.searches.documents import DIRECTORY, VMS, parse_document
+from anvilhoist.searches.placement import Placement
 
 TRACE = Path(__file__).parent / "traces" / "placement.json"
 BASE_PORT = 29000
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from anvilhoist.errors import Kind, Ran
-from anvilhoist.tickets import (
+from anvilhoist.searches.tickets import (
     OUTCOME_LIFE_S,
     TICKET_LIFE_S,
     TicketBook,
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,7 +8,7 @@
 
 from anvilhoist.clock import read_boottime
 from anvilhoist.errors import Failure, Kind, Ran
-from anvilhoist.upstream import Attempt, BookAsk, SearchAsk, UpstreamClient
+from anvilhoist.searches.upstream import Attempt, BookAsk, SearchAsk, UpstreamClient
 
 GOOD_PART = b'{"shard":"s1","version":1,"hits":[],"incarnation":"a#1"}'
 ASK = SearchAsk("sorting", 1, "s1", "blue")
--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from anvilhoist.documents import CONFIG
-from anvilhoist.messages import Published
-from anvilhoist.view import View
+from anvilhoist.searches.documents import CONFIG
+from anvilhoist.searches.messages import Published
+from anvilhoist.searches.view import View
 
 GOOD = """
 [data_centres.vaxjo]
