--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -14,6 +14,7 @@
 
 SILENT_LIMIT_MS = 3000  # ms until unacknowledged bytes end a connection
 MAX_RESPONSE_BYTES = 4 << 20  # bytes; a larger response is taken as spoilt
+TCP_CLOSE_WAIT = 8  # state of a connection that the peer has closed in order
 
 Matches = Callable[[int, Headers], bool]
 
@@ -40,6 +41,18 @@
 Outcome = Reply | Failure
 
 
+def ended_in_order(connection: socket.socket) -> bool:
+    """Whether the peer closed a connection, rather than reset it.
+
+    An event loop may report the end of the stream in both cases.
+    """
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return info[0] == TCP_CLOSE_WAIT
+
+
 class ServerConnection(asyncio.Protocol):
     """A connection to a server; it carries one request at a time.
 
@@ -114,7 +127,10 @@
     def eof_received(self) -> bool:
         """Complete a response that ends with its connection."""
         if self._until_eof and self._on_done is not None:
-            self._complete()
+            if ended_in_order(self._transport.get_extra_info("socket")):
+                self._complete()
+            else:
+                self._spoil("reset on the way")
             self._deliver()
         return False
 
