--- a/src/anvilhoist/front/command.py
+++ b/src/anvilhoist/front/__main__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ..process import run_binary
+import sys
+
+from ..errors import SettingsError
 from .settings import read_front_settings
 
 
@@ -26,7 +28,20 @@
 
 def main() -> None:
     """Run the binary."""
-    run_binary("anvilhoist-front", front)
+    if len(sys.argv) > 1:
+        # Only a command line needs its parser; a restart should be quick.
+        from ..process import run_binary
+
+        run_binary("anvilhoist-front", front)
+    from ..loop import run_loop
+
+    try:
+        code = run_loop(front())
+    except SettingsError as error:
+        print(f"anvilhoist-front: {error}", file=sys.stderr)
+        code = error.exit_code
+    sys.stdout.flush()
+    raise SystemExit(code)
 
 
 if __name__ == "__main__":
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -78,7 +78,7 @@
         self.replicas = Replicas(
             now, self._find_service, self._count_vms, self.members.is_first_for
         )
-        self.view = View(now, self.replicas.put)
+        self.view = View(now, self.replicas.put, self._become_ready)
         bounds = settings.bounds
         terms = BudgetTerms(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
@@ -148,13 +148,12 @@
         timers.subscribe(PERIOD_S, self.members.check)
         timers.subscribe(CHECK_S, self.replicas.check)
         timers.subscribe(CHECK_S, self.view.drop_missing)
-        timers.subscribe(CHECK_S, self._check_ready)
         for server in (self.callers, *self._others):
             timers.subscribe(CHECK_S, server.check_limits)
         timers.subscribe(SUMMARY_S, self._sum_up)
 
-    def _check_ready(self, now: float) -> None:
-        if self.state is State.STARTING and self.view.known:
+    def _become_ready(self) -> None:
+        if self.state is State.STARTING:
             self.state = State.READY
             self._heartbeats.send()
             structlog.get_logger().info(
--- a/src/anvilhoist/process.py
+++ b/src/anvilhoist/process.py
@@ -3,29 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import logging
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from functools import wraps
 from typing import Protocol
 
 import fire
 import fire.core
-import uvloop
 
 from . import __version__
 from .errors import SettingsError, UsageError
-from .tasks import find_exit_code
-
-GC_ALLOCATIONS = 5_000
-GC_FACTOR = 20
+from .loop import Run, run_loop
 
 CLOSE_LIMIT_S = 1.0
 
-Run = Callable[[], Awaitable[int]]
-
 
 class ClosableServer(Protocol):
     """A listening server."""
@@ -107,16 +99,6 @@
     raise SystemExit(code)
 
 
-def run_loop(run: Run) -> int:
-    """Run a coroutine function on the event loop that the project pins."""
-    gc.freeze()
-    gc.set_threshold(GC_ALLOCATIONS, GC_FACTOR, GC_FACTOR)
-    logging.getLogger("sanic").setLevel(logging.CRITICAL)
-    logging.getLogger("websockets").setLevel(logging.CRITICAL)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return find_exit_code(runner.run(run()))
-
-
 async def wait_for_stop() -> str:
     """Wait for SIGTERM or SIGINT.
 
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -32,10 +32,13 @@
         Clock, in seconds.
     on_replica : callable
         Told of an instance and its entry, or None when it must not be used.
+    on_configured : callable
+        Called when a configuration has come into force.
     """
 
     now: Callable[[], float]
     on_replica: Callable[[str, ReplicaEntry | None], None]
+    on_configured: Callable[[], None] = lambda: None
     configuration: Configuration | None = None
     revision: int = 0
     entries: dict[str, ReplicaEntry] = field(default_factory=dict)
@@ -52,10 +55,13 @@
 
     def apply(self, revision: int, changes: list[Change]) -> None:
         """Take over changes in the order in which they were made."""
+        before = self.configuration
         for change in changes:
             self._apply_one(change)
         self.revision = max(self.revision, revision)
         self.heard_at = self.now()
+        if self.configuration is not before:
+            self.on_configured()
 
     def replace(self, published: Published) -> None:
         """Take over all that is published, and drop what is not in it.
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -94,9 +94,7 @@
         assert not reusable
 
     def test_second_response_without_a_request_ends_the_connection(self):
-        (reply,), reusable = run_exchanges(
-            Script(answer(b"one") + answer(b"one")), 1
-        )
+        (reply,), reusable = run_exchanges(Script(answer(b"one") + answer(b"one")), 1)
         assert reply.body == b"one"
         assert not reusable
 
