--- a/src/anvilhoist/peers/exchange.py
+++ b/src/anvilhoist/peers/exchange.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from ..errors import Failure
+from ..errors import Failure, Kind
 from ..http.connect import open_connection
 from ..http.exchange import Outcome, Reply
 from ..http.messages import Request, Response, encode_request
@@ -50,7 +50,7 @@
             async with asyncio.timeout(ASK_LIMIT_S):
                 outcome = await _exchange(peer.peers_address)
         except OSError as error:
-            outcome = Failure(None, repr(error))
+            outcome = Failure(Kind.PEER_LOST, repr(error))
         if isinstance(outcome, Reply) and outcome.status == 200:
             return decode_published(outcome.body)
         structlog.get_logger().info(
--- /dev/null
+++ b/src/anvilhoist/site/caller.py
@@ -0,0 +1,182 @@
+"""Stand-in of a caller: asks where to connect, sends, and judges the answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from dataclasses import dataclass, field
+
+from ..clock import read_boottime
+from ..errors import Failure, Kind
+from ..http.connect import open_connection
+from ..http.exchange import Outcome, Reply, ServerConnection
+from ..http.messages import encode_request, find_header
+from ..platform import names
+from .parts import check_gathered, make_digest, make_part
+from .site import BOOK, HOST_NAME, NEXT_SHARDS, SEARCH, SHARDS, SINGLE
+
+CONNECT_LIMIT_S = 1.0
+TOP = 5
+PROMISES_NOT_RUN = (408, 421, 429, 503)
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of one attempt.
+
+    Attributes
+    ----------
+    attempt, path : str
+        Id and path.
+    status : int
+        HTTP status; 0 without an answer.
+    missing : int
+        Shards that the answer is without.
+    wrong : str or None
+        What is wrong with the answer.
+    sent_at, took_s : float
+        When it was sent, and how long it took, in seconds.
+    """
+
+    attempt: str
+    path: str
+    status: int
+    sent_at: float
+    took_s: float
+    missing: int = 0
+    wrong: str | None = None
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class SiteCaller:
+    """Sends requests to a site and keeps what came of them.
+
+    Parameters
+    ----------
+    directories : list of str
+        Addresses that tell where to connect.
+    seed : int
+        Seed of its choices.
+    """
+
+    directories: list[str]
+    seed: int = 0
+    results: list[Result] = field(default_factory=list)
+    _addresses: list[str] = field(default_factory=list)
+    _until: float = 0.0
+    _idle: list[tuple[str, ServerConnection]] = field(default_factory=list)
+    _random: random.Random = field(init=False)
+    _count: int = 0
+
+    def __post_init__(self):
+        self._random = random.Random(self.seed)
+
+    async def send(self, path: str, deadline_s: float = 2.0) -> Result:
+        """Send one request and judge its answer."""
+        self._count += 1
+        attempt = f"a{self.seed:x}-{self._count:x}".encode()
+        sent_at = read_boottime()
+        outcome = await self._exchange(path, attempt, deadline_s)
+        result = Result(attempt.decode(), path, 0, sent_at, read_boottime() - sent_at)
+        if isinstance(outcome, Reply):
+            result.status = outcome.status
+            self._judge(result, outcome, attempt)
+        else:
+            result.detail = outcome.detail
+        self.results.append(result)
+        return result
+
+    async def resolve(self) -> list[str]:
+        """Addresses to connect to, kept as long as the directory says."""
+        if self._addresses and read_boottime() < self._until:
+            return self._addresses
+        for directory in self._random.sample(self.directories, len(self.directories)):
+            target = f"{names.RESOLVE}?name={HOST_NAME}&region=smaland&zone=vaxjo"
+            outcome = await _call(directory, b"GET", target, [], b"", 1.0)
+            if isinstance(outcome, Reply) and outcome.status == 200:
+                found = json.loads(outcome.body)
+                self._addresses = found["addrs"]
+                self._until = read_boottime() + found["ttl_s"]
+                break
+        return self._addresses
+
+    async def _exchange(self, path: str, attempt: bytes, deadline_s: float) -> Outcome:
+        addresses = await self.resolve()
+        if not addresses:
+            return Failure(Kind.PEER_LOST, "no address")
+        headers = [
+            (names.REQUEST_ID, attempt),
+            (names.DEADLINE_MS, b"%d" % (deadline_s * 1000)),
+        ]
+        method, body = (b"POST", b"book it") if path.startswith(BOOK) else (b"GET", b"")
+        target = f"{path}{attempt.decode()}"
+        kept = [
+            pair for pair in self._idle if pair[0] in addresses and pair[1].reusable
+        ]
+        if kept and self._random.random() < 0.8:
+            pair = self._random.choice(kept)
+            self._idle.remove(pair)
+            address, connection = pair
+        else:
+            address, connection = self._random.choice(addresses), None
+        return await _call(
+            address,
+            method,
+            target,
+            headers,
+            body,
+            deadline_s + 1.0,
+            connection,
+            self._idle,
+        )
+
+    def _judge(self, result: Result, reply: Reply, attempt: bytes) -> None:
+        if not 200 <= reply.status < 300:
+            return
+        if result.path.startswith(SEARCH):
+            listed = find_header(reply.headers, names.PART_DIGESTS) or b""
+            digests = [each.strip() for each in listed.split(b",") if each.strip()]
+            missing = int(find_header(reply.headers, names.MISSING_PARTS) or b"0")
+            result.missing = missing
+            found = [
+                check_gathered(shards, attempt, digests, reply.body, TOP)
+                if len(digests) + missing == len(shards)
+                else "not all shards of one configuration"
+                for shards in (SHARDS, NEXT_SHARDS)
+            ]
+            result.wrong = None if None in found else str(found)
+            return
+        if find_header(reply.headers, names.DIGEST) != make_digest(SINGLE, attempt):
+            result.wrong = "the digest is not this request's"
+        elif reply.body != make_part(SINGLE, attempt):
+            result.wrong = "the body is not whole"
+
+
+async def _call(
+    address, method, target, headers, body, limit_s, connection=None, idle=None
+) -> Outcome:
+    done: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+
+    def deliver(outcome: Outcome) -> None:
+        if not done.done():
+            done.set_result(outcome)
+
+    try:
+        async with asyncio.timeout(limit_s):
+            if connection is None:
+                connection = await open_connection(address, CONNECT_LIMIT_S)
+            data = encode_request(
+                method, target.encode(), [(b"host", HOST_NAME.encode()), *headers], body
+            )
+            connection.send(data, lambda status, found: True, deliver)
+            outcome = await done
+    except OSError as error:
+        outcome = Failure(Kind.PEER_LOST, repr(error))
+    if connection is not None:
+        if idle is not None and connection.reusable:
+            idle.append((address, connection))
+        else:
+            connection.abort()
+    return outcome
--- /dev/null
+++ b/src/anvilhoist/site/load.py
@@ -0,0 +1,82 @@
+"""Send a mix of requests to a site at a steady rate."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from .caller import Result, SiteCaller
+from .site import BOOK, READ, SEARCH, Site
+
+PATHS = (SEARCH, SEARCH, SEARCH, READ, BOOK)
+END_LIMIT_S = 6.0
+
+
+@dataclass(slots=True)
+class Load:
+    """Several callers that send until they are stopped.
+
+    Parameters
+    ----------
+    site : Site
+        Where to.
+    seed : int
+        Seed of all choices.
+    rate : float
+        Requests a second.
+    callers : int
+        Callers, each with connections of its own.
+    """
+
+    site: Site
+    seed: int
+    rate: float = 40.0
+    callers: int = 4
+    _callers: list[SiteCaller] = field(default_factory=list)
+    _tasks: set[asyncio.Task] = field(default_factory=set)
+    _sender: asyncio.Task | None = None
+
+    @property
+    def results(self) -> list[Result]:
+        """What came of every attempt so far."""
+        return [result for caller in self._callers for result in caller.results]
+
+    def start(self) -> None:
+        """Begin to send."""
+        directories = [vm.directory for vm in self.site.fleet]
+        self._callers = [
+            SiteCaller(directories, self.seed * 1000 + number)
+            for number in range(self.callers)
+        ]
+        self._sender = asyncio.create_task(self._send())
+
+    async def stop(self) -> list[Result]:
+        """Stop to send, and wait for what is under way."""
+        self._sender.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=END_LIMIT_S)
+        return self.results
+
+    async def _send(self) -> None:
+        chance = random.Random(self.seed)
+        while True:
+            caller = chance.choice(self._callers)
+            task = asyncio.create_task(caller.send(chance.choice(PATHS)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(chance.expovariate(self.rate))
+
+
+def describe(results: Sequence[Result]) -> str:
+    """Sum up what callers got, in one line."""
+    statuses = Counter(result.status or "none" for result in results)
+    parts = ", ".join(
+        f"{key}: {number}" for key, number in sorted(statuses.items(), key=str)
+    )
+    missing = sum(result.missing for result in results)
+    slowest = max((result.took_s for result in results), default=0.0)
+    ends = f"{missing} shards left out; slowest {slowest:.2f} s"
+    return f"{len(results)} requests ({parts}); {ends}"
--- a/src/anvilhoist/upstreams/choice.py
+++ b/src/anvilhoist/upstreams/choice.py
@@ -12,7 +12,7 @@
 from .health import Health
 from .replica import Replica
 
-OTHER_DATA_CENTRE = 0.25  # added cost, in usual durations of a request
+OTHER_DATA_CENTRE = 0.6  # added cost, in usual durations of a request
 LOADED = 0.3  # added cost of each request per slot below the slots' number
 QUEUED = 1.0  # added cost of each request per slot beyond the slots' number
 LEAST_SUCCESS = 0.05  # keeps the cost finite where everything fails
--- /dev/null
+++ b/tests/test_site.py
@@ -0,0 +1,196 @@
+"""The whole path over the users' protocol, as separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import signal
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from anvilhoist.clock import read_boottime
+from anvilhoist.site.load import Load
+from anvilhoist.site.promises import Left, check_promises
+from anvilhoist.site.site import DATA_CENTRES, NEXT_SHARDS, SHARDS, Site
+
+LEAVE_S = 3.0
+SEED = 7
+_bases = itertools.count(60)
+
+Act = Callable[[Site, Load], Awaitable[list[Left] | None]]
+
+
+def play(act: Act, whole: bool = True, seconds: float = 1.5) -> tuple[list, Site, list]:
+    """Results of a load while something happens, and the promises broken."""
+
+    async def run():
+        site = Site(next(_bases))
+        try:
+            await site.start()
+            load = Load(site, SEED)
+            load.start()
+            await asyncio.sleep(0.5)
+            left = await act(site, load) or []
+            await asyncio.sleep(seconds)
+            results = await load.stop()
+            arrivals = json.loads(await site.order_replicas("arrivals"))
+            runs = await site.read_runs()
+            breaches = check_promises(results, runs, arrivals, left, whole)
+            return results, site, breaches
+        finally:
+            await site.stop()
+
+    return asyncio.run(run())
+
+
+def served(results: list) -> float:
+    """Share of requests that got an answer with success."""
+    return sum(result.status == 200 for result in results) / len(results)
+
+
+@pytest.mark.process
+class TestSite:
+    def test_calm(self):
+        async def act(site, load):
+            return None
+
+        results, site, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+        assert not any(result.missing for result in results)
+        assert set(site.exit_codes) == {0}
+
+    def test_drain(self):
+        async def act(site, load):
+            instance = next(iter(site.entries))
+            await site.drain(instance)
+            return [Left(instance, read_boottime() + LEAVE_S)]
+
+        results, _, breaches = play(act, seconds=LEAVE_S + 0.5)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_data_centre_out(self):
+        async def act(site, load):
+            out = DATA_CENTRES[0]
+            await site.take_out(out, True)
+            end = read_boottime() + LEAVE_S
+            return [
+                Left(entry.instance, end)
+                for entry in site.entries.values()
+                if entry.data_centre == out
+            ]
+
+        results, _, breaches = play(act, seconds=LEAVE_S + 0.5)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_sigterm_under_load(self):
+        async def act(site, load):
+            vm = site.fleet[0]
+            site.signal_vm(vm, signal.SIGTERM)
+            await asyncio.to_thread(vm.process.wait, 10)
+            assert vm.process.returncode == 0
+            site.start_vm(vm)
+            await site.wait_ready(vm)
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_sighup_cuts_nothing(self):
+        async def act(site, load):
+            for vm in site.fleet:
+                site.signal_vm(vm, signal.SIGHUP)
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    @pytest.mark.parametrize("mode", ["busy", "silent"])
+    def test_store_outage(self, mode):
+        async def act(site, load):
+            await site.order_store("mode", mode=mode)
+            await asyncio.sleep(2.0)
+            await site.order_store("mode", mode="serve")
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_start_without_the_store_takes_what_a_peer_knows(self):
+        async def act(site, load):
+            await site.order_store("mode", mode="busy")
+            vm = site.fleet[0]
+            site.signal_vm(vm, signal.SIGTERM)
+            await asyncio.to_thread(vm.process.wait, 10)
+            site.start_vm(vm)
+            await site.wait_ready(vm)
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_peer_killed(self):
+        async def act(site, load):
+            site.signal_vm(site.fleet[1], signal.SIGKILL)
+
+        results, _, breaches = play(act, whole=False, seconds=3.0)
+        assert not breaches
+        late = [r for r in results if r.sent_at > results[0].sent_at + 3.0]
+        assert served(late) == 1.0
+
+    @pytest.mark.parametrize("fault", ["extra", "cut", "reset", "unframed", "shed"])
+    def test_spoilt_answers(self, fault):
+        async def act(site, load):
+            for instance in list(site.entries)[::2]:
+                await site.set_fault(instance, fault)
+
+        results, _, breaches = play(act)
+        assert not breaches
+        searches = [r for r in results if r.path.startswith("/search")]
+        assert served(searches) > 0.9
+
+    def test_reshard(self):
+        async def act(site, load):
+            for service in NEXT_SHARDS:
+                for data_centre in DATA_CENTRES[:2]:
+                    await site.add_replica(service, data_centre)
+            await site.publish(NEXT_SHARDS)
+            await asyncio.sleep(LEAVE_S)
+            end = read_boottime()
+            old = [i for i, entry in site.entries.items() if entry.service in SHARDS]
+            for instance in old:
+                await site.drain(instance)
+            return [Left(instance, end) for instance in old]
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_address_taken_over_by_another_instance(self):
+        async def act(site, load):
+            instance = next(iter(site.entries))
+            entry = site.entries.pop(instance)
+            await site.order_store("delete", key=f"servers/{instance}")
+            other = f'{{"backend":"shard-0","address":"{entry.address}",'
+            other += '"zone":"vaxjo","slots":3,"state":"ready","sequence":1,"born":1}'
+            await site.put("servers/i-other", other.encode())
+
+        results, _, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+
+    def test_entries_and_configurations_of_other_writers(self):
+        async def act(site, load):
+            await site.put("servers/i-odd", b"\xff\xfe")
+            await site.put("servers/i-odder", b'{"backend": 3, "slots": "two"}')
+            await site.put("op/config", b'{"version": 9999, "routes": "none"}')
+            await site.put("op/other", b"[]")
+
+        results, site, breaches = play(act)
+        assert not breaches
+        assert served(results) == 1.0
+        assert "configuration_refused" in site.read_log("front-1")
