Homes of routes, settings that change while running, and tests of the decisions

Cause: routes may name the regions in which they may be handled, and the settings file may change without a signal; neither was followed.

Change: replicas outside a route's regions are never chosen; callers are sent to another region only where their own has no VM; seeds and the data centres' regions follow the settings file, checked every 2 s and at SIGHUP.

--- a/src/anvilhoist/directory.py
+++ b/src/anvilhoist/directory.py
@@ -42,6 +42,5 @@
             ready.append(own)
         near = [vm for vm in ready if vm.data_centre == data_centre]
         if len(near) < ENOUGH:
-            same_region = [vm for vm in ready if vm.region == region]
-            near = same_region if len(same_region) >= ENOUGH else ready
+            near = [vm for vm in ready if vm.region == region] or ready
         return sorted(vm.callers_address for vm in near)[:MOST]
--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -17,6 +17,7 @@
 from ..upstreams.fleet import Replicas
 from ..upstreams.replica import Exchange, Replica
 from ..upstreams.usual import UsualDurations
+from ..world.model import Route
 from ..world.view import View
 from .call import NEVER_RAN, Call, Verdict
 
@@ -33,6 +34,12 @@
         Clock, in seconds.
     data_centre : str
         Data centre of this VM.
+    view, replicas, budget, usual, metrics : object
+        What is published, the replicas in use, and what was counted.
+    data_centres : dict of str
+        Region of each data centre.
+    random : Random
+        Splits traffic and breaks ties.
     """
 
     now: Callable[[], float]
@@ -42,11 +49,24 @@
     budget: RetryBudget
     usual: UsualDurations
     metrics: Metrics
+    data_centres: dict[str, str] = field(default_factory=dict)
     random: Random = field(default_factory=Random)
 
-    def choose(self, service: str, tried: list[str]) -> Replica | None:
-        """Choose a replica of a service that can be expected to answer."""
+    def choose(self, route: Route, service: str, tried: list[str]) -> Replica | None:
+        """Choose a replica of a service that can be expected to answer.
+
+        Parameters
+        ----------
+        route : Route
+            Route of the request; only replicas in its regions are chosen.
+        service : str
+            Service that the request goes to.
+        tried : list of str
+            Instances that are not to be chosen again.
+        """
         listed = self.replicas.list_service(service, self.view.out)
+        if route.regions:
+            listed = [each for each in listed if self._stands_in(each, route.regions)]
         now = self.now()
         chosen = choose_replica(listed, self.data_centre, now, self.random, tried)
         return chosen or choose_probe(listed, now, tried)
@@ -93,6 +113,9 @@
         matches = match_call(call)
         return replica.send(data, matches, usual_s, fresh, finish)
 
+    def _stands_in(self, replica: Replica, regions: tuple[str, ...]) -> bool:
+        return self.data_centres.get(replica.entry.data_centre) in regions
+
     def _learn(self, replica: Replica, reply: Reply, verdict: Verdict) -> None:
         instance = replica.entry.instance
         load = read_load(reply.headers)
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -111,7 +111,7 @@
             self._cancel_open()
 
     def _choose(self, shard: Shard) -> Replica | None:
-        return self._context.choose(shard.service, shard.tried)
+        return self._context.choose(self._route, shard.service, shard.tried)
 
     def _send(self, shard: Shard, replica: Replica) -> None:
         shard.sends += 1
@@ -181,7 +181,7 @@
 
     def _choose_again(self, shard: Shard) -> Replica | None:
         # All have been tried; those that rejected it may have room by now.
-        return self._context.choose(shard.service, [])
+        return self._context.choose(self._route, shard.service, [])
 
     def _may_send(self, shard: Shard) -> bool:
         return shard.runs < self._route.attempts and shard.sends < REJECTED_LIMIT
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -49,7 +49,7 @@
         context = self._context
         now = context.now()
         context.budget.add_request(self._service, now)
-        replica = context.choose(self._service, self._tried)
+        replica = context.choose(self._route, self._service, self._tried)
         if replica is None or now >= self._schedule.end_at:
             return refuse(context, self._call, self._route, Kind.NO_REPLICA)
         loop = asyncio.get_running_loop()
@@ -104,8 +104,8 @@
         context = self._context
         now = context.now()
         if self._may_send() and now < self._schedule.end_at:
-            replica = context.choose(self._service, self._tried)
-            replica = replica or context.choose(self._service, [])
+            replica = context.choose(self._route, self._service, self._tried)
+            replica = replica or context.choose(self._route, self._service, [])
             if replica and (unsent or context.budget.spend(self._service, now)):
                 self._log("retried", replica.entry.instance)
                 self._send(replica)
@@ -122,7 +122,7 @@
         context = self._context
         if self._answer.done() or len(self._open) != 1 or not self._may_send():
             return
-        replica = context.choose(self._service, self._tried)
+        replica = context.choose(self._route, self._service, self._tried)
         if replica and context.budget.spend(self._service, context.now()):
             context.metrics.count("hedges", self._route.name)
             self._log("hedged", replica.entry.instance)
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import structlog
 
@@ -42,6 +42,7 @@
 
 ADDRESS_KEEP_S = 1.0  # s; callers hear of a leaving VM within three times this
 LOG_FLUSH_S = 0.2  # s between two writes of the log
+SETTINGS_CHECK_S = 2.0  # s; the file may change without a signal
 SUMMARY_S = 5.0  # s between two lines that sum up the process's state
 
 
@@ -70,6 +71,7 @@
     _directory: Directory = field(init=False)
     _store: StoreClient = field(init=False)
     _beat: int = 0
+    _refused: str = ""
 
     def __post_init__(self):
         settings = self.settings
@@ -91,6 +93,7 @@
             RetryBudget(terms, self._count_vms),
             UsualDurations(),
             Metrics(settings.vm, "front"),
+            settings.data_centres,
         )
         forwarder = Forwarder(self.context)
         self.callers = HttpServer("callers", forwarder.handle, self._read_limits)
@@ -125,6 +128,31 @@
         self._subscribe()
         return [start_task(follower.run()), start_task(self.timers.run())]
 
+    def reload(self, now: float = 0.0) -> None:
+        """Read the settings file again, and take over what can change.
+
+        A file that is not valid, or can't be in force without a restart, changes
+        nothing.
+        """
+        log = structlog.get_logger()
+        try:
+            found = read_front_settings(self.path)
+        except SettingsError as error:
+            if str(error) != self._refused:
+                self._refused = str(error)
+                log.error("settings_refused", problem=self._refused, kept="the last")
+            return
+        if found == self.settings:
+            return
+        if found.listen != self.settings.listen or found.host != self.settings.host:
+            log.warning("settings_wait", why="addresses change only with a restart")
+        self.members.seeds = found.seed_hosts
+        self.context.data_centres = found.data_centres
+        self.settings = replace(
+            found, listen=self.settings.listen, host=self.settings.host
+        )
+        log.info("settings_in_force", seeds=found.seeds)
+
     async def stop(self) -> None:
         """Answer what has been read, send callers elsewhere, and end."""
         self.state = State.LEAVING
@@ -150,6 +178,7 @@
         timers.subscribe(CHECK_S, self.view.drop_missing)
         for server in (self.callers, *self._others):
             timers.subscribe(CHECK_S, server.check_limits)
+        timers.subscribe(SETTINGS_CHECK_S, self.reload)
         timers.subscribe(SUMMARY_S, self._sum_up)
 
     def _become_ready(self) -> None:
@@ -247,7 +276,7 @@
     stopped = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stopped.set)
     loop.add_signal_handler(signal.SIGINT, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, settings, path)
+    loop.add_signal_handler(signal.SIGHUP, front.reload)
     tasks = await front.start()
     await stopped.wait()
     log.info("stop_begins", requests=front.callers.busy)
@@ -256,14 +285,3 @@
     log.info("stop", requests=front.callers.busy)
     buffer.flush()
     return 0
-
-
-def _reload(settings: FrontSettings, path: str | None) -> None:
-    log = structlog.get_logger()
-    try:
-        found = read_front_settings(path)
-    except SettingsError as error:
-        log.error("settings_refused", problem=str(error), kept="the settings in force")
-        return
-    changed = found != settings
-    log.info("settings_read", changed=changed, in_force="at the next start")
--- a/src/anvilhoist/front/settings.py
+++ b/src/anvilhoist/front/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 from pydantic import Field
@@ -79,6 +79,8 @@
         Addresses at which other VMs may be found.
     bounds : Bounds
         What operators bound.
+    data_centres : dict of str
+        Region of each data centre.
     """
 
     __pydantic_config__ = BORDER
@@ -93,6 +95,7 @@
     metrics_port: Port
     seeds: tuple[Address, ...] = ()
     bounds: Bounds = Bounds()
+    data_centres: dict[str, str] = field(default_factory=dict)
 
     @property
     def seed_hosts(self) -> tuple[str, ...]:
--- a/src/anvilhoist/http/server.py
+++ b/src/anvilhoist/http/server.py
@@ -16,6 +16,7 @@
 MAX_PIPELINED = 16  # requests that wait on one connection, a bound on memory
 LINGER_S = 0.5  # s for the peer to read a last response before the close
 CHECK_S = 0.25  # s between two looks for idle connections
+HEADER_FRAMING = 4  # bytes of a header beside its name and value
 BACKLOG = 1024  # connections, so that a burst of new ones is not dropped
 
 Handle = Callable[[Request], Awaitable[Response]]
@@ -169,6 +170,11 @@
         """Invite the body where the caller waits for that."""
         self._in_head = False
         self._headers_done = True
+        # A head that came in one piece with its body is measured by its parts.
+        self._head_bytes = len(self._url) + sum(
+            len(name) + len(value) + HEADER_FRAMING for name, value in self._headers
+        )
+        self._check_head()
         for name, value in self._headers:
             if name == b"expect" and value.lower() == b"100-continue":
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -127,14 +127,16 @@
     def is_first_for(self, key: str) -> bool:
         """Whether this VM has the highest rendezvous hash of those alive for a key."""
         hosts = [*self.list_heard(), self.host]
-        return max(
-            hosts, key=lambda host: xxhash.xxh64(f"{host}/{key}").intdigest()
-        ) == (self.host)
+        return max(hosts, key=lambda host: _weigh(host, key)) == self.host
 
     def _list_alive(self) -> list[Member]:
         oldest = self.now() - ALIVE_S
         return [m for m in self._members.values() if m.heard_at > oldest]
 
 
+def _weigh(host: str, key: str) -> int:
+    return xxhash.xxh64_intdigest(f"{host}/{key}".encode())
+
+
 def _age(heartbeat: Heartbeat) -> tuple[int, int]:
     return (heartbeat.incarnation, heartbeat.beat)
--- /dev/null
+++ b/tests/test_edges.py
@@ -0,0 +1,360 @@
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from collections import Counter
+from random import Random
+
+import pytest
+import structlog
+from hypothesis import given
+from hypothesis import strategies as st
+
+from anvilhoist.directory import Directory
+from anvilhoist.errors import ANSWERS, Kind, Ran
+from anvilhoist.forward.merge import merge_records
+from anvilhoist.forward.refusal import choose_retry_after
+from anvilhoist.forward.routes import RouteTable, split_service
+from anvilhoist.forward.timing import plan_schedule
+from anvilhoist.front.stopping import plan_stop
+from anvilhoist.http.messages import Request, Response, forwardable
+from anvilhoist.http.server import ConnectionLimits, HttpServer
+from anvilhoist.logs import BUFFER_BYTES, LogBuffer
+from anvilhoist.peers.members import ALIVE_S, KNOWN_S, Members
+from anvilhoist.peers.messages import (
+    Heartbeat,
+    State,
+    decode_heartbeat,
+    encode_heartbeat,
+)
+from anvilhoist.world.model import Configuration, Gather, Route
+
+LIMITS = ConnectionLimits(header_bytes=300, body_bytes=50, header_s=0.2, idle_s=0.4)
+
+
+def make_route(prefix: str, host: str = "a.example", **fields) -> Route:
+    whole = {"timeout_s": 2.0, "target_s": 0.2, "attempts": 2, **fields}
+    return Route(prefix, host, prefix, True, **whole)
+
+
+def beat(number: int, state=State.READY, incarnation=1, count=1, heard=()) -> Heartbeat:
+    host = f"10.0.0.{number}"
+    place = ("vaxjo", "alvesta")[number % 2]
+    return Heartbeat(
+        f"vm-{number}", incarnation, count, host, f"{host}:1", f"{host}:2", place,
+        "smaland", state, 0, heard,
+    )  # fmt: skip
+
+
+class TestHttpServer:
+    def talk(self, sent: bytes, seconds: float = 1.0, drain: bool = False):
+        """Bytes that come back, and the requests that were handled."""
+        handled: list[Request] = []
+
+        async def handle(request: Request) -> Response:
+            handled.append(request)
+            await asyncio.sleep(0.01)
+            return Response(200, [], request.target)
+
+        async def run() -> bytes:
+            server = HttpServer("test", handle, lambda: LIMITS)
+            await server.listen("127.0.0.1:0")
+            if drain:
+                server.drain()
+            port = server._listener.sockets[0].getsockname()[1]
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(sent)
+            received = b""
+            end = asyncio.get_running_loop().time() + seconds
+            while asyncio.get_running_loop().time() < end:
+                server.check_limits(__import__("time").clock_gettime(7))
+                try:
+                    data = await asyncio.wait_for(reader.read(65536), 0.05)
+                except TimeoutError:
+                    continue
+                if not data:
+                    break
+                received += data
+            writer.close()
+            server.stop_listening()
+            return received
+
+        return asyncio.run(run()), handled
+
+    def test_requests_in_a_row_are_answered_in_order(self):
+        received, _ = self.talk(
+            b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\nGET /2 HTTP/1.1\r\nhost: a\r\n\r\n", 0.3
+        )
+        assert received.count(b"200 OK") == 2
+        assert received.index(b"/1") < received.index(b"/2")
+
+    def test_chunked_body_arrives_whole(self):
+        _, handled = self.talk(
+            b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+            0.2,
+        )
+        assert handled[0].body == b"abcde"
+
+    @pytest.mark.parametrize(
+        ("sent", "status"),
+        [
+            (b"nonsense\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\nx: " + b"y" * 400 + b"\r\n\r\n", b"431"),
+            (b"POST / HTTP/1.1\r\ncontent-length: 60\r\n\r\n" + b"z" * 60, b"413"),
+            (b"GET / HTTP/1.1\r\nhost:", b"408"),
+            (
+                b"POST / HTTP/1.1\r\ncontent-length: 3\r\n"
+                b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+                b"400",
+            ),
+        ],
+    )
+    def test_what_is_no_proper_request_reaches_no_handler(self, sent, status):
+        received, handled = self.talk(sent)
+        assert received.split()[1] == status
+        assert b"Connection: close" in received
+        assert not handled
+
+    def test_idle_connection_is_closed(self):
+        received, _ = self.talk(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n", 1.5)
+        assert received.startswith(b"HTTP/1.1 200")
+
+    def test_draining_answers_and_closes(self):
+        received, handled = self.talk(b"GET /1 HTTP/1.1\r\nhost: a\r\n\r\n", drain=True)
+        assert b"200 OK" in received
+        assert b"Connection: close" in received
+        assert len(handled) == 1
+
+    def test_work_is_cancelled_when_the_caller_leaves(self):
+        ended = []
+
+        async def handle(request: Request) -> Response:
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                ended.append("cancelled")
+                raise
+            return Response(200)
+
+        async def run():
+            server = HttpServer("test", handle)
+            await server.listen("127.0.0.1:0")
+            port = server._listener.sockets[0].getsockname()[1]
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.close()
+            await asyncio.sleep(0.1)
+            server.stop_listening()
+
+        asyncio.run(run())
+        assert ended == ["cancelled"]
+
+
+class TestForwardable:
+    def test_headers_of_one_connection_stay(self):
+        headers = [
+            (b"connection", b"keep-alive, X-Mine"),
+            (b"x-mine", b"1"),
+            (b"te", b"trailers"),
+            (b"x-other", b"2"),
+            (b"replaced", b"3"),
+        ]
+        assert forwardable(headers, frozenset((b"replaced",))) == [(b"x-other", b"2")]
+
+
+class TestRouteTable:
+    def test_longest_prefix_of_the_host(self):
+        routes = (make_route("/a/"), make_route("/a/b/"), make_route("/", "b.example"))
+        table = RouteTable(Configuration(1, routes, {}, LIMITS))
+        assert table.find("a.example", "/a/b/c").prefix == "/a/b/"
+        assert table.find("A.example", "/a/x").prefix == "/a/"
+        assert table.find("a.example", "/ab/") is None
+        assert table.find("b.example", "/x").prefix == "/"
+        assert table.find("c.example", "/a/") is None
+
+    def test_split_follows_the_weights(self):
+        route = make_route("/a/", services=(("x", 3.0), ("y", 1.0), ("z", 0.0)))
+        chance = Random(3)
+        counts = Counter(split_service(route, chance) for _ in range(4000))
+        assert counts["x"] / 4000 == pytest.approx(0.75, abs=0.03)
+        assert counts["z"] == 0
+
+    def test_split_without_weight_names_nothing(self):
+        assert split_service(make_route("/a/"), Random(1)) is None
+
+
+class TestGather:
+    @pytest.mark.parametrize(
+        ("total", "share", "needed"),
+        [(20, 0.89, 18), (20, 0.75, 15), (3, 1.0, 3), (3, 0.0, 1), (90, 0.95, 86)],
+    )
+    def test_needed(self, total, share, needed):
+        shards = tuple(str(number) for number in range(total))
+        assert Gather(shards, 5, share).needed == needed
+
+
+class TestMergeRecords:
+    @given(
+        st.lists(
+            st.lists(st.binary(min_size=16, max_size=16), max_size=20), max_size=6
+        ),
+        st.integers(0, 30),
+    )
+    def test_greatest_first_and_equal_ones_all_count(self, parts, top):
+        bodies = [b"".join(part) + b"rest" for part in parts]
+        records = sorted((r for part in parts for r in part), reverse=True)
+        assert merge_records(bodies, top) == b"".join(records[:top])
+
+
+class TestSchedule:
+    def test_never_beyond_timeout_or_deadline(self):
+        route = make_route("/a/", timeout_s=0.5, target_s=0.4)
+        assert plan_schedule(route, 10.0, 20.0, 0.02).end_at == 10.5
+        soon = plan_schedule(route, 10.0, 10.1, 0.02)
+        assert soon.end_at < 10.1
+        assert soon.cut_at <= soon.end_at
+
+    def test_hedge_leaves_time_for_the_second_try(self):
+        route = make_route("/a/", target_s=0.2)
+        assert plan_schedule(route, 0.0, 9.0, 5.0).hedge_at <= 0.1
+
+
+class TestRetryAfter:
+    def test_only_what_has_not_run_says_when_to_come_back(self):
+        for kind in Kind:
+            found = choose_retry_after(kind, 3.0)
+            if ANSWERS[kind].ran is not Ran.NO:
+                assert found is None
+
+    def test_at_most_a_third_of_what_is_left(self):
+        assert choose_retry_after(Kind.NO_REPLICA, 0.3) <= 0.1
+        assert choose_retry_after(Kind.NO_REPLICA, -1.0) == 0.0
+
+
+class TestStopPlan:
+    def test_serves_while_callers_hold_the_address(self):
+        plan = plan_stop(100.0, 6.0, 1.0)
+        assert not plan.may_end(102.9, busy=0)
+        assert not plan.closes_idle(102.9)
+        assert plan.may_end(103.1, busy=0)
+        assert not plan.may_end(103.1, busy=1)
+
+    def test_ends_before_it_is_killed(self):
+        plan = plan_stop(100.0, 6.0, 1.0)
+        assert plan.may_end(105.6, busy=9)
+        assert plan.refuses_new(104.6)
+
+
+class TestMembers:
+    def make(self, seeds=("10.0.0.1", "10.0.0.2")):
+        self.at = 0.0
+        return Members("10.0.0.1", seeds, lambda: self.at)
+
+    def test_silent_vm_is_not_named_but_still_counted(self):
+        members = self.make()
+        for number in (2, 3, 4):
+            members.take(beat(number))
+        assert len(members.list_ready()) == 3
+        self.at += ALIVE_S + 0.1
+        members.take(beat(2, count=2))
+        assert [each.vm for each in members.list_ready()] == ["vm-2"]
+        assert members.fleet_size == 4
+        self.at += 10 * KNOWN_S
+        assert members.fleet_size == 4
+
+    def test_leaving_vm_is_not_named(self):
+        members = self.make()
+        members.take(beat(2))
+        members.take(beat(2, State.LEAVING, count=2))
+        assert not members.list_ready()
+
+    def test_older_heartbeats_change_nothing(self):
+        members = self.make()
+        members.take(beat(2, State.LEAVING, incarnation=2, count=1))
+        members.take(beat(2, State.READY, incarnation=1, count=900))
+        assert not members.list_ready()
+
+    def test_vms_that_others_hear_are_called(self):
+        members = self.make(seeds=("10.0.0.2",))
+        members.take(beat(2, heard=("10.0.0.9", "10.0.0.1")))
+        assert members.list_targets() == {"10.0.0.2", "10.0.0.9"}
+
+    def test_one_vm_is_first_for_a_key(self):
+        views = []
+        for own in (1, 2, 3):
+            members = Members(f"10.0.0.{own}", (), lambda: 0.0)
+            for number in (1, 2, 3):
+                members.take(beat(number))
+            views.append(members)
+        for key in ("i-1", "i-2", "i-3"):
+            assert sum(view.is_first_for(key) for view in views) == 1
+
+
+class TestHeartbeat:
+    def test_goes_through(self):
+        found = decode_heartbeat(encode_heartbeat(beat(2, heard=("10.0.0.3",))))
+        assert found == beat(2, heard=("10.0.0.3",))
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_harm_nobody(self, data):
+        decode_heartbeat(data)
+
+
+class TestDirectory:
+    def list(self, numbers, own_state=State.READY, place="vaxjo", region="smaland"):
+        members = Members("10.0.0.8", (), lambda: 0.0)
+        for number in numbers:
+            members.take(beat(number))
+        return Directory(members).list_addresses(beat(8, own_state), region, place)
+
+    def test_own_data_centre_if_it_has_enough(self):
+        assert self.list((2, 3)) == ["10.0.0.2:1", "10.0.0.8:1"]
+
+    def test_all_of_the_region_where_it_has_not(self):
+        assert len(self.list((3, 5))) == 3
+
+    def test_not_itself_while_it_leaves(self):
+        assert self.list((2, 4), State.LEAVING) == ["10.0.0.2:1", "10.0.0.4:1"]
+
+    def test_another_region_only_where_there_is_no_own(self):
+        assert len(self.list((3,), region="elsewhere")) == 2
+
+
+class TestLogBuffer:
+    def test_reader_that_does_not_read_never_blocks_and_losses_are_told(self):
+        reading, writing = os.pipe()
+        os.set_blocking(writing, False)
+        buffer = LogBuffer(writing)
+        line = "x" * 1000
+        for _ in range(3 * BUFFER_BYTES // 1000):
+            buffer.write(line)
+            buffer.flush()
+        assert buffer.dropped > 0
+        dropped = buffer.dropped
+        received = b""
+        while b"log_lines_dropped" not in received:
+            received += os.read(reading, 1 << 20)
+            buffer.flush()
+        told = json.loads(received[received.index(b"{") :].splitlines()[0])
+        assert told["count"] == dropped
+        os.close(reading)
+        os.close(writing)
+
+    def test_closed_reader_stops_nothing(self):
+        reading, writing = os.pipe()
+        buffer = LogBuffer(writing)
+        os.close(reading)
+        buffer.write("line")
+        buffer.flush()
+        assert buffer.dropped == 1
+        os.close(writing)
+
+
+@pytest.fixture(autouse=True)
+def _quiet_logs():
+    structlog.reset_defaults()
+    yield
+    structlog.reset_defaults()
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,226 @@
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from anvilhoist.errors import Failure, Kind
+from anvilhoist.http.server import ConnectionLimits
+from anvilhoist.peers.messages import decode_published, encode_published
+from anvilhoist.platform.documents import decode_item, decode_removal
+from anvilhoist.platform.publish import encode_configuration, encode_replica
+from anvilhoist.world.follow import Follower
+from anvilhoist.world.model import (
+    Configuration,
+    ConfigurationChanged,
+    DataCentreOut,
+    Gather,
+    Published,
+    ReplicaChanged,
+    ReplicaEntry,
+    ReplicaGone,
+    Route,
+    Service,
+)
+from anvilhoist.world.source import HistoryGone, Update
+from anvilhoist.world.view import RETURN_GRACE_S, View
+
+ENTRY = ReplicaEntry("i-1", "shard", "10.0.0.1:80", "vaxjo", 3, born_ms=5)
+
+
+def make_configuration(version: int) -> Configuration:
+    route = Route(
+        "r", "a.example", "/a/", True, 2.0, 0.2, 2, gather=Gather(("s", "t"), 5, 0.5)
+    )
+    split = Route(
+        "s", "a.example", "/b/", False, 1.0, 0.1, 1, 2, (("s", 2.0), ("t", 1))
+    )
+    services = {name: Service(name, 30) for name in ("s", "t")}
+    return Configuration(version, (route, split), services, ConnectionLimits())
+
+
+class World:
+    def __init__(self):
+        self.at = 0.0
+        self.told: list[tuple[str, bool]] = []
+        self.view = View(lambda: self.at, self._tell)
+
+    def _tell(self, instance, entry) -> None:
+        self.told.append((instance, entry is not None))
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+def text(value: bytes) -> str:
+    return base64.b64encode(value).decode()
+
+
+class TestView:
+    def test_versions_only_rise(self, world):
+        for version in (5, 4, 7, 6):
+            change = ConfigurationChanged(make_configuration(version))
+            world.view.apply(version, [change])
+        assert world.view.configuration.version == 7
+
+    def test_older_start_of_an_instance_changes_nothing(self, world):
+        old = ReplicaEntry("i-1", "other", "10.0.0.9:80", "vaxjo", 3, born_ms=4)
+        world.view.apply(1, [ReplicaChanged(ENTRY), ReplicaChanged(old)])
+        assert world.view.entries["i-1"] is ENTRY
+
+    def test_source_that_is_behind_changes_nothing(self, world):
+        world.view.apply(10, [ReplicaChanged(ENTRY)])
+        world.view.replace(Published(9, []))
+        assert world.view.entries
+
+    def test_whole_reading_drops_what_is_gone(self, world):
+        world.view.apply(1, [ReplicaChanged(ENTRY), DataCentreOut("vaxjo", True)])
+        world.view.replace(Published(2, []))
+        assert not world.view.entries
+        assert not world.view.out
+
+    def test_entry_that_lapsed_in_an_outage_is_kept_until_it_could_return(self, world):
+        world.view.apply(1, [ReplicaChanged(ENTRY)])
+        world.view.regained(5.0)
+        world.view.replace(Published(2, []))
+        world.view.drop_missing(world.at)
+        assert "i-1" in world.view.entries
+        world.at += RETURN_GRACE_S + 0.1
+        world.view.drop_missing(world.at)
+        assert not world.view.entries
+        assert world.told[-1] == ("i-1", False)
+
+    def test_entry_that_returns_stays(self, world):
+        world.view.apply(1, [ReplicaChanged(ENTRY)])
+        world.view.regained(5.0)
+        world.view.apply(2, [ReplicaGone("i-1"), ReplicaChanged(ENTRY)])
+        world.at += RETURN_GRACE_S + 0.1
+        world.view.drop_missing(world.at)
+        assert "i-1" in world.view.entries
+
+    def test_peers_get_all_that_is_known(self, world):
+        changes = [
+            ReplicaChanged(ENTRY),
+            DataCentreOut("alvesta", True),
+            ConfigurationChanged(make_configuration(3)),
+        ]
+        world.view.apply(9, changes)
+        found = decode_published(encode_published(world.view.list_published()))
+        other = World()
+        other.view.replace(found)
+        assert other.view.entries == world.view.entries
+        assert other.view.out == world.view.out
+        assert other.view.configuration == world.view.configuration
+        assert other.view.revision == 9
+
+    def test_bytes_of_a_peer_that_are_no_such_thing_are_refused(self):
+        assert decode_published(b"\xff\x00") is None
+
+
+class TestDocuments:
+    def test_configuration_goes_through(self):
+        configuration = make_configuration(4)
+        change = decode_item("op/config", text(encode_configuration(configuration)))
+        assert change.configuration == configuration
+
+    def test_replica_goes_through(self):
+        change = decode_item("servers/i-1", text(encode_replica(ENTRY)))
+        assert change.entry == ENTRY
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"slots": "3"},
+            {"slots": 0},
+            {"slots": True},
+            {"state": "resting"},
+            {"address": "somewhere"},
+            {"backend": None},
+            {"born": "soon"},
+            {"born": 1.5},
+            {"warmup-left-ms": "long"},
+        ],
+    )
+    def test_entry_of_another_writer_names_no_replica(self, fields):
+        whole = {**json.loads(encode_replica(ENTRY)), **fields}
+        change = decode_item("servers/i-1", text(json.dumps(whole).encode()))
+        assert change == ReplicaGone("i-1")
+
+    @pytest.mark.parametrize("value", ["!!", text(b"\xff"), text(b"[]"), text(b"3")])
+    def test_bytes_that_cannot_be_read(self, value):
+        assert decode_item("servers/i-1", value) == ReplicaGone("i-1")
+        assert decode_item("op/config", value) is None
+
+    def test_new_fields_are_passed_over(self):
+        whole = {**json.loads(encode_replica(ENTRY)), "colour": "blue"}
+        change = decode_item("servers/i-1", text(json.dumps(whole).encode()))
+        assert change.entry == ENTRY
+
+    def test_data_centre_out_and_in(self):
+        assert decode_item("op/evacuate/huye", text(b"{}")) == DataCentreOut(
+            "huye", True
+        )
+        assert decode_removal("op/evacuate/huye") == DataCentreOut("huye", False)
+        assert decode_removal("op/config") is None
+
+
+class ScriptedSource:
+    """Gives what it is told, then never answers again."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked: list[object] = []
+
+    async def read_all(self):
+        return await self._next("all")
+
+    async def watch(self, after, wait_s):
+        return await self._next(after)
+
+    def close(self) -> None:
+        return
+
+    async def _next(self, asked):
+        self.asked.append(asked)
+        if not self.answers:
+            await asyncio.sleep(3600)
+        return self.answers.pop(0)
+
+
+class TestFollower:
+    def follow(self, world, source, peer=None, seconds=1.5) -> None:
+        async def ask_peer(revision):
+            return peer
+
+        async def run():
+            follower = Follower(world.view, source, ask_peer, lambda: world.at)
+            try:
+                await asyncio.wait_for(follower.run(), seconds)
+            except TimeoutError:
+                pass
+
+        asyncio.run(run())
+
+    def test_reads_once_and_watches_from_there(self, world):
+        update = Update(8, [ReplicaChanged(ENTRY)])
+        source = ScriptedSource(Published(5, []), update)
+        self.follow(world, source)
+        assert source.asked == ["all", 5, 8]
+        assert "i-1" in world.view.entries
+
+    def test_reads_all_again_when_the_history_is_gone(self, world):
+        source = ScriptedSource(Published(5, []), HistoryGone(), Published(9, []))
+        self.follow(world, source)
+        assert source.asked == ["all", 5, "all", 9]
+
+    def test_takes_what_a_peer_knows_while_the_store_is_away(self, world):
+        failure = Failure(Kind.STORE_UNREACHED, "away")
+        source = ScriptedSource(failure, failure)
+        known = Published(7, [ConfigurationChanged(make_configuration(3))])
+        self.follow(world, source, peer=known)
+        assert world.view.configuration.version == 3
+        assert source.asked[-1] == 7
