--- a/src/anvilhoist/front/__main__.py
+++ b/src/anvilhoist/front/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 from ..errors import SettingsError
@@ -28,6 +29,8 @@
 
 def main() -> None:
     """Run the binary."""
+    # Until the process can reload its settings, being told to is no reason to end.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if len(sys.argv) > 1:
         # Only a command line needs its parser; a restart should be quick.
         from ..process import run_binary
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,10 @@
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 FIRST_PORT = 23000
 PORTS_FOR_FLEET = 200
-_given_out = iter(range(FIRST_PORT, 30000, PORTS_FOR_FLEET))
+PORTS_FOR_WORKER = 1400
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_first = FIRST_PORT + WORKER * PORTS_FOR_WORKER
+_given_out = iter(range(_first, _first + PORTS_FOR_WORKER, PORTS_FOR_FLEET))
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -14,10 +14,12 @@
 from anvilhoist.site.load import Load
 from anvilhoist.site.promises import Left, check_promises
 from anvilhoist.site.site import DATA_CENTRES, NEXT_SHARDS, SHARDS, Site
+from conftest import WORKER
 
 LEAVE_S = 3.0
 SEED = 7
-_bases = itertools.count(60)
+BASES_FOR_WORKER = 20
+_bases = itertools.count(2 + WORKER * BASES_FOR_WORKER)
 
 Act = Callable[[Site, Load], Awaitable[list[Left] | None]]
 
