Lean start; beliefs about replicas in logs and metrics; small heartbeats

On-call engineers could not see why a replica was passed over. A heartbeat named every VM, which grows with the square of the fleet.

--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -274,7 +274,7 @@
             left_ms=round((self._call.deadline - now) * 1000),
             shards_in=self._in,
             missing=missing,
-            tried={s.service: s.tried for s in self._shards if len(s.tried) > 1},
+            tried={shard.service: shard.tried for shard in self._shards},
             hedges=self._hedges,
             retries=self._retries,
             hedge_ms=round(
--- a/src/anvilhoist/front/__main__.py
+++ b/src/anvilhoist/front/__main__.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 
-from ..errors import SettingsError
-from .settings import read_front_settings
+# A restart should be quick: nothing that is imported becomes garbage.
+gc.disable()
+
+from ..errors import SettingsError  # noqa: E402
+from .settings import read_front_settings  # noqa: E402
 
 
 def front(settings: str | None = None):
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import structlog
 
@@ -126,6 +127,7 @@
             self.view, self._store, PeerReader(self.members).ask, read_boottime
         )
         self._subscribe()
+        self._watch_gauges()
         return [start_task(follower.run()), start_task(self.timers.run())]
 
     def reload(self, now: float = 0.0) -> None:
@@ -181,6 +183,27 @@
         timers.subscribe(SETTINGS_CHECK_S, self.reload)
         timers.subscribe(SUMMARY_S, self._sum_up)
 
+    def _watch_gauges(self) -> None:
+        metrics, view = self.context.metrics, self.view
+
+        def read_age() -> float:
+            return read_boottime() - view.heard_at if view.heard_at else -1.0
+
+        def read_version() -> float:
+            return float(view.configuration.version) if view.configuration else -1.0
+
+        metrics.watch("view_age_s", read_age)
+        metrics.watch("configuration_version", read_version)
+        metrics.watch("store_calls", lambda: float(self._store.calls))
+        metrics.watch("peers_heard", lambda: float(len(self.members.list_heard())))
+        metrics.watch("callers_open", lambda: float(len(self.callers.connections)))
+        metrics.watch("requests_open", lambda: float(self.callers.busy))
+        for belief in ("sound", "slow", "failing", "dark"):
+            metrics.watch(f"replicas_{belief}", partial(self._count_belief, belief))
+
+    def _count_belief(self, belief: str) -> float:
+        return float(self.replicas.list_beliefs().get(belief, 0))
+
     def _become_ready(self) -> None:
         if self.state is State.STARTING:
             self.state = State.READY
@@ -197,7 +220,7 @@
             version=view.configuration.version if view.configuration else None,
             view_age_s=round(now - view.heard_at, 2) if view.heard_at else None,
             replicas=len(self.replicas.by_instance),
-            dark=sum(r.health.dark for r in self.replicas.by_instance.values()),
+            beliefs=self.replicas.list_beliefs(),
             peers=len(self.members.list_heard()),
             store_calls=self._store.calls,
             callers=len(self.callers.connections),
@@ -228,7 +251,13 @@
 
     async def _answer_metrics(self, request: Request) -> Response:
         headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        return Response(200, headers, self.context.metrics.render().encode())
+        metrics = self.context.metrics
+        spent = self.context.budget.list_spent(read_boottime())
+        text = metrics.render() + "".join(
+            f'anvilhoist_extra_arrivals{{service="{service}"}} {count}\n'
+            for service, count in sorted(spent.items())
+        )
+        return Response(200, headers, text.encode())
 
     def _describe(self) -> Heartbeat:
         self._beat += 1
@@ -244,7 +273,7 @@
             settings.region,
             self.state,
             self.view.revision,
-            self.members.list_heard(),
+            self.members.list_some_heard(self.context.random),
         )
 
     def _find_service(self, name: str) -> Service | None:
--- a/src/anvilhoist/loop.py
+++ b/src/anvilhoist/loop.py
@@ -20,6 +20,7 @@
 def run_loop(run: Run) -> int:
     """Run a coroutine function on the event loop that the project pins."""
     gc.freeze()
+    gc.enable()
     gc.set_threshold(GC_ALLOCATIONS, GC_FACTOR, GC_FACTOR)
     logging.getLogger("sanic").setLevel(logging.CRITICAL)
     logging.getLogger("websockets").setLevel(logging.CRITICAL)
--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 
 import structlog
 import xxhash
@@ -11,6 +12,7 @@
 from .messages import Heartbeat, State
 
 ALIVE_S = 1.7  # s without a heartbeat, after which no caller is sent to a VM
+MENTIONED = 16  # VMs named in one heartbeat; others follow in the next ones
 KNOWN_S = 12.0  # s without a heartbeat, after which a VM is no longer called
 
 
@@ -112,6 +114,11 @@
         """IP numbers of the VMs that are heard now."""
         return tuple(member.heartbeat.host for member in self._list_alive())
 
+    def list_some_heard(self, random: Random) -> tuple[str, ...]:
+        """Some of the VMs that are heard, so that a heartbeat stays small."""
+        heard = self.list_heard()
+        return tuple(random.sample(heard, min(MENTIONED, len(heard))))
+
     def list_known(self) -> list[Heartbeat]:
         """VMs heard within the time for which a silent one may be alive."""
         oldest = self.now() - KNOWN_S
--- a/src/anvilhoist/upstreams/fleet.py
+++ b/src/anvilhoist/upstreams/fleet.py
@@ -2,14 +2,31 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import structlog
+
 from ..world.model import ReplicaEntry, Service
 from .cold import ColdGate
+from .health import Health
 from .replica import Replica
 
+SLOW = 3.0  # times the usual duration, from which a replica is called slow
+FAILING = 0.3  # share of failures, from which a replica is called failing
+
+
+def describe_belief(health: Health, now: float) -> str:
+    """Name what is believed of a replica, for logs and metrics."""
+    if health.is_dark(now):
+        return "dark"
+    if health.read_failed(now) > FAILING:
+        return "failing"
+    if max(health.read_slowness(now), health.read_stall(now)) > SLOW:
+        return "slow"
+    return "sound"
+
 
 @dataclass(slots=True)
 class Replicas:
@@ -32,6 +49,7 @@
     count_vms: Callable[[], int]
     is_sender: Callable[[str], bool]
     by_instance: dict[str, Replica] = field(default_factory=dict)
+    _beliefs: dict[str, str] = field(default_factory=dict)
     _by_service: dict[str, list[Replica]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -60,9 +78,18 @@
         ]
 
     def check(self, now: float) -> None:
-        """Close connections that have been idle for too long."""
-        for replica in self.by_instance.values():
+        """Close connections that have been idle for too long; log new beliefs."""
+        for instance, replica in self.by_instance.items():
             replica.check(now)
+            belief = describe_belief(replica.health, now)
+            if belief != self._beliefs.get(instance, "sound"):
+                self._beliefs[instance] = belief
+                _log_belief(replica, belief, now)
+
+    def list_beliefs(self) -> dict[str, int]:
+        """Number of replicas of each belief."""
+        found = (self._beliefs.get(name, "sound") for name in self.by_instance)
+        return dict(Counter(found))
 
     def _add(self, entry: ReplicaEntry) -> Replica:
         def read_share() -> int:
@@ -82,6 +109,7 @@
 
     def _drop(self, replica: Replica) -> None:
         del self.by_instance[replica.entry.instance]
+        self._beliefs.pop(replica.entry.instance, None)
         self._by_service[replica.entry.service].remove(replica)
         replica.retire()
 
@@ -92,3 +120,18 @@
         entry.service,
         entry.address,
     )
+
+
+def _log_belief(replica: Replica, belief: str, now: float) -> None:
+    health = replica.health
+    structlog.get_logger().info(
+        "replica_believed",
+        replica=replica.entry.instance,
+        service=replica.entry.service,
+        belief=belief,
+        slowness=round(health.read_slowness(now), 1),
+        slow_age_s=round(now - health.slow_at, 2),
+        failed=round(health.read_failed(now), 2),
+        open=len(health.open),
+        answered_age_s=round(now - health.answered_at, 2),
+    )
