--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -124,7 +124,11 @@
         )
         await self.callers.listen(listen.callers)
         follower = Follower(
-            self.view, self._store, PeerReader(self.members).ask, read_boottime
+            self.view,
+            self._store,
+            PeerReader(self.members).ask,
+            read_boottime,
+            self._count_vms,
         )
         self._subscribe()
         self._watch_gauges()
--- a/src/anvilhoist/platform/publish.py
+++ b/src/anvilhoist/platform/publish.py
@@ -2,14 +2,75 @@
 
 from __future__ import annotations
 
+import base64
 import json
+from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
+from urllib.parse import parse_qs
 
+from ..http.messages import Request, Response
 from ..world.model import Configuration, ReplicaEntry, Route
 from . import names
 
 MS_PER_S = 1000
 
+Item = tuple[str, bytes | None, int]
+
+
+@dataclass(frozen=True, slots=True)
+class StoreQuery:
+    """What a call asks a store for.
+
+    Attributes
+    ----------
+    prefix : str
+        Beginning of the keys.
+    after : str
+        Key or revision after which to begin.
+    wait_s : float
+        How long a watch may wait, in seconds.
+    """
+
+    prefix: str
+    after: str
+    wait_s: float
+
+
+def read_store_query(request: Request) -> StoreQuery:
+    """Read what a call asks for."""
+    text = request.target.decode().partition("?")[2]
+    found = {key: values[0] for key, values in parse_qs(text, True).items()}
+    wait_s = int(found.get("wait-ms", "0")) / MS_PER_S
+    return StoreQuery(found.get("path-prefix", ""), found.get("after", ""), wait_s)
+
+
+def encode_items(items: Iterable[Item], more: bool, revision: int) -> Response:
+    """Page of items; each is a key, a value and the revision of its last change."""
+    fields = {
+        "items": [_encode_item(item) for item in items],
+        "has-more": more,
+        "at": revision,
+    }
+    return Response(200, [], json.dumps(fields).encode())
+
+
+def encode_events(items: Iterable[Item], revision: int) -> Response:
+    """Changes up to a revision; a value of None stands for a removal."""
+    fields = {"events": [_encode_item(item) for item in items], "at": revision}
+    return Response(200, [], json.dumps(fields).encode())
+
+
+def encode_resolve(host: str, region: str, data_centre: str) -> str:
+    """Target of a caller that asks where to connect."""
+    return f"{names.RESOLVE}?name={host}&region={region}&zone={data_centre}"
+
+
+def decode_addresses(body: bytes) -> tuple[list[str], float]:
+    """Addresses that a caller was told, and how long to keep them, in seconds."""
+    found = json.loads(body)
+    return found["addrs"], found["ttl_s"]
+
 
 def replica_key(instance: str) -> str:
     """Key of a replica's entry."""
@@ -83,3 +144,14 @@
             {"backend": name, "weight": weight} for name, weight in route.services
         ]
     return fields
+
+
+def _encode_item(item: Item) -> dict[str, Any]:
+    key, value, revision = item
+    if value is None:
+        return {"key": key, "revision": revision, "deleted": True}
+    return {
+        "key": key,
+        "revision": revision,
+        "value": base64.b64encode(value).decode(),
+    }
--- a/src/anvilhoist/searches/operate.py
+++ b/src/anvilhoist/searches/operate.py
@@ -12,6 +12,9 @@
 from pydantic import TypeAdapter, ValidationError
 
 from ..errors import Failure, Kind, SettingsError, UsageError
+from ..front.settings import read_front_settings
+from ..oncall.rounds import draw_rounds, format_rounds, read_rounds
+from ..oncall.story import find_story, format_story, read_lines
 from ..process import run_binary
 from .decisions import Decision
 from .documents import MODELS, parse_document
@@ -181,9 +184,75 @@
     return code
 
 
+def story(request: str, *logs: str):
+    """Tell what became of one request of the front, from its processes' logs.
+
+    Parameters
+    ----------
+    request : str
+        Id of the request.
+    logs : str
+        Log files.
+    """
+
+    async def run() -> int:
+        found = find_story(read_lines(logs), str(request))
+        print("\n".join(format_story(found)))
+        return 0 if found.lines else NOT_ALL_READ_EXIT_CODE
+
+    return run
+
+
+def check_settings(path: str):
+    """Check a settings file of the front.
+
+    Parameters
+    ----------
+    path : str
+        The file.
+    """
+
+    async def run() -> int:
+        found = read_front_settings(path)
+        print(f"{path}: valid, for {found.vm}")
+        return 0
+
+    return run
+
+
+def rounds(journal: str = "journal", picture: str = "reports/rounds.png"):
+    """List and draw the scored rounds of a journal.
+
+    Parameters
+    ----------
+    journal : str
+        Folder of the entries.
+    picture : str
+        Where the picture goes.
+    """
+
+    async def run() -> int:
+        found = read_rounds(journal)
+        Path(picture).parent.mkdir(parents=True, exist_ok=True)
+        draw_rounds(found, picture)
+        print("\n".join(format_rounds(found)))
+        print(f"drawn to {picture}")
+        return 0
+
+    return run
+
+
 def main() -> None:
     """Run the binary."""
-    run_binary("anvilhoist", {"check": check, "status": status, "explain": explain})
+    commands = {
+        "check": check,
+        "check_settings": check_settings,
+        "explain": explain,
+        "rounds": rounds,
+        "status": status,
+        "story": story,
+    }
+    run_binary("anvilhoist", commands)
 
 
 if __name__ == "__main__":
--- a/src/anvilhoist/site/caller.py
+++ b/src/anvilhoist/site/caller.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 from dataclasses import dataclass, field
 
@@ -13,8 +12,18 @@
 from ..http.exchange import Outcome, Reply, ServerConnection
 from ..http.messages import encode_request, find_header
 from ..platform import names
+from ..platform.publish import decode_addresses, encode_resolve
 from .parts import check_gathered, make_digest, make_part
-from .site import BOOK, HOST_NAME, NEXT_SHARDS, SEARCH, SHARDS, SINGLE
+from .site import (
+    BOOK,
+    DATA_CENTRES,
+    HOST_NAME,
+    NEXT_SHARDS,
+    REGION,
+    SEARCH,
+    SHARDS,
+    SINGLE,
+)
 
 CONNECT_LIMIT_S = 1.0
 TOP = 5
@@ -59,10 +68,13 @@
         Addresses that tell where to connect.
     seed : int
         Seed of its choices.
+    reuse : float
+        Share of the requests that go out on a connection that is open.
     """
 
     directories: list[str]
     seed: int = 0
+    reuse: float = 0.8
     results: list[Result] = field(default_factory=list)
     _addresses: list[str] = field(default_factory=list)
     _until: float = 0.0
@@ -93,12 +105,11 @@
         if self._addresses and read_boottime() < self._until:
             return self._addresses
         for directory in self._random.sample(self.directories, len(self.directories)):
-            target = f"{names.RESOLVE}?name={HOST_NAME}&region=smaland&zone=vaxjo"
+            target = encode_resolve(HOST_NAME, REGION, DATA_CENTRES[0])
             outcome = await _call(directory, b"GET", target, [], b"", 1.0)
             if isinstance(outcome, Reply) and outcome.status == 200:
-                found = json.loads(outcome.body)
-                self._addresses = found["addrs"]
-                self._until = read_boottime() + found["ttl_s"]
+                self._addresses, keep_s = decode_addresses(outcome.body)
+                self._until = read_boottime() + keep_s
                 break
         return self._addresses
 
@@ -115,7 +126,7 @@
         kept = [
             pair for pair in self._idle if pair[0] in addresses and pair[1].reusable
         ]
-        if kept and self._random.random() < 0.8:
+        if kept and self._random.random() < self.reuse:
             pair = self._random.choice(kept)
             self._idle.remove(pair)
             address, connection = pair
--- a/src/anvilhoist/site/load.py
+++ b/src/anvilhoist/site/load.py
@@ -29,12 +29,15 @@
         Requests a second.
     callers : int
         Callers, each with connections of its own.
+    reuse : float
+        Share of the requests that go out on a connection that is open.
     """
 
     site: Site
     seed: int
     rate: float = 40.0
     callers: int = 4
+    reuse: float = 0.8
     _callers: list[SiteCaller] = field(default_factory=list)
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _sender: asyncio.Task | None = None
@@ -48,7 +51,7 @@
         """Begin to send."""
         directories = [vm.directory for vm in self.site.fleet]
         self._callers = [
-            SiteCaller(directories, self.seed * 1000 + number)
+            SiteCaller(directories, self.seed * 1000 + number, self.reuse)
             for number in range(self.callers)
         ]
         self._sender = asyncio.create_task(self._send())
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import json
 from dataclasses import dataclass, field
-from typing import Any
 from urllib.parse import parse_qs
 
 from ..http.messages import Request, Response
 from ..http.server import ConnectionLimits, HttpServer
 from ..platform import names
+from ..platform.publish import (
+    Item,
+    StoreQuery,
+    encode_events,
+    encode_items,
+    read_store_query,
+)
 from ..process import run_binary, wait_for_stop
 
 PAGE_ITEMS = 50  # items a page, as small as the users' store gives them
@@ -24,7 +28,7 @@
     """Items with revisions, and their history."""
 
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
-    history: list[tuple[int, str, bytes | None]] = field(default_factory=list)
+    history: list[Item] = field(default_factory=list)
     revision: int = 1
     oldest: int = 1
     mode: str = "serve"
@@ -34,14 +38,8 @@
     async def handle(self, request: Request) -> Response:
         """Answer a call of the tier, or an order of the experiment."""
         path = request.path
-        query = {
-            key: values[0]
-            for key, values in parse_qs(
-                request.target.decode().partition("?")[2], keep_blank_values=True
-            ).items()
-        }
         if path.startswith("/control/"):
-            return self._order(path.removeprefix("/control/"), query, request.body)
+            return self._order(path.removeprefix("/control/"), request)
         self.calls += 1
         if self.mode == "busy":
             return Response(503)
@@ -49,9 +47,9 @@
             await asyncio.sleep(SILENCE_S)
             return Response(503)
         if path == names.RANGE_CALL:
-            return self._range(query)
+            return self._range(read_store_query(request))
         if path == names.WATCH_CALL:
-            return await self._watch(query)
+            return await self._watch(read_store_query(request))
         return Response(404)
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -61,13 +59,15 @@
             self.items.pop(key, None)
         else:
             self.items[key] = (value, self.revision)
-        self.history.append((self.revision, key, value))
+        self.history.append((key, value, self.revision))
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def _order(self, order: str, query: dict[str, str], body: bytes) -> Response:
+    def _order(self, order: str, request: Request) -> Response:
+        text = request.target.decode().partition("?")[2]
+        query = {key: values[0] for key, values in parse_qs(text).items()}
         if order == "put":
-            self.put(query["key"], body)
+            self.put(query["key"], request.body)
         elif order == "delete":
             self.put(query["key"], None)
         elif order == "mode" and query.get("mode") in MODES:
@@ -81,45 +81,32 @@
             return Response(400)
         return Response(200)
 
-    def _range(self, query: dict[str, str]) -> Response:
-        prefix = query["path-prefix"]
-        after = query.get("after", "")
-        found = sorted(k for k in self.items if k.startswith(prefix) and k > after)
-        page = [self._encode(key) for key in found[:PAGE_ITEMS]]
-        more = len(found) > PAGE_ITEMS
-        return _encode({"items": page, "has-more": more, "at": self.revision})
-
-    async def _watch(self, query: dict[str, str]) -> Response:
-        after = int(query["after"])
+    def _range(self, query: StoreQuery) -> Response:
+        found = sorted(
+            key
+            for key in self.items
+            if key.startswith(query.prefix) and key > query.after
+        )
+        page = [(key, *self.items[key]) for key in found[:PAGE_ITEMS]]
+        return encode_items(page, len(found) > PAGE_ITEMS, self.revision)
+
+    async def _watch(self, query: StoreQuery) -> Response:
+        after = int(query.after)
         if after < self.oldest:
             return Response(410)
         changed = self._changed
         if self.revision <= after:
             try:
-                async with asyncio.timeout(int(query["wait-ms"]) / 1000):
+                async with asyncio.timeout(query.wait_s):
                     await changed.wait()
             except TimeoutError:
-                return _encode({"events": [], "at": self.revision})
+                return encode_events([], self.revision)
         events = [
-            {"key": key, "revision": revision, "deleted": True}
-            if value is None
-            else {"key": key, "revision": revision, "value": _text(value)}
-            for revision, key, value in self.history
-            if revision > after and key.startswith(query["path-prefix"])
+            item
+            for item in self.history
+            if item[2] > after and item[0].startswith(query.prefix)
         ]
-        return _encode({"events": events, "at": self.revision})
-
-    def _encode(self, key: str) -> dict[str, Any]:
-        value, revision = self.items[key]
-        return {"key": key, "value": _text(value), "revision": revision}
-
-
-def _text(value: bytes) -> str:
-    return base64.b64encode(value).decode()
-
-
-def _encode(fields: dict[str, Any]) -> Response:
-    return Response(200, [], json.dumps(fields).encode())
+        return encode_events(events, self.revision)
 
 
 def serve(address: str):
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -24,7 +24,7 @@
 class Exchange:
     """One request to one replica; ends once, by an outcome or by `cancel`."""
 
-    __slots__ = ("_cancel", "done", "instance", "key", "outcome_at", "since")
+    __slots__ = ("_cancel", "done", "instance", "key", "since")
 
     def __init__(self, instance: str, since: float, key: int):
         self.instance = instance
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -13,12 +13,20 @@
 from .source import HistoryGone, Source
 from .view import View
 
-WATCH_WAIT_S = 2.0  # s; a connection that went silent is found out after this
+WATCH_WAIT_S = 3.0  # s; a connection that went silent is found out after this
 PAUSE_S = 0.3  # s between two watches, so that changes come in batches
+PAUSE_PER_VM_S = 0.02  # s more for each VM, so that calls grow less than the fleet
+PAUSE_MOST_S = 1.0  # s; a change is in force well within 3 s
 RETRY_S = 0.3  # s after a failed call
 OUTAGE_S = 1.0  # s without an answer, after which entries may have lapsed
 PEER_AFTER_S = 1.0  # s without the store, after which a peer is asked
 
+
+def choose_pause(vms: int) -> float:
+    """Choose the pause between two watches, in seconds, for a fleet of `vms`."""
+    return min(PAUSE_MOST_S, PAUSE_S + PAUSE_PER_VM_S * (vms - 1))
+
+
 AskPeer = Callable[[int], Awaitable[Published | None]]
 
 
@@ -36,12 +44,15 @@
         Coroutine function from the revision known to what a peer holds, if newer.
     now : callable
         Clock, in seconds.
+    count_vms : callable
+        VMs that read from the same store.
     """
 
     view: View
     source: Source
     ask_peer: AskPeer
     now: Callable[[], float]
+    count_vms: Callable[[], int] = lambda: 1
     lost: bool = False
     _heard_store_at: float | None = None
     _started_at: float = 0.0
@@ -52,7 +63,7 @@
         self._started_at = self.now()
         while True:
             if await self._step():
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(choose_pause(self.count_vms()))
             else:
                 await self._bridge()
                 await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/tests/test_oncall.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from anvilhoist.errors import SettingsError, UsageError
+from anvilhoist.front.settings import read_front_settings
+from anvilhoist.oncall.rounds import draw_rounds, read_rounds
+from anvilhoist.oncall.story import find_story, format_story, name_cause, read_lines
+from anvilhoist.world.follow import PAUSE_MOST_S, choose_pause
+
+LINES = [
+    {"event": "configuration_in_force", "version": 4, "vm": "a"},
+    {"event": "replica_believed", "replica": "i-1", "belief": "slow", "vm": "a"},
+    {"event": "replica_believed", "replica": "i-1", "belief": "dark", "vm": "a"},
+    {"event": "replica_believed", "replica": "i-9", "belief": "slow", "vm": "a"},
+    {"event": "replica_believed", "replica": "i-1", "belief": "sound", "vm": "b"},
+    {
+        "event": "query", "request": "r1", "vm": "a", "outcome": "answered",
+        "ms": 210.1, "missing": ["s1"], "tried": {"s1": ["i-1"], "s2": ["i-9"]},
+    },
+    {
+        "event": "refused", "request": "r2", "vm": "a", "kind": "no_replica",
+        "ran": "no", "found": 0, "version": 4, "view_age_s": 0.4,
+    },
+    {
+        "event": "request", "request": "r3", "vm": "b", "outcome": "answered",
+        "ms": 900.0, "tried": ["i-1"],
+    },
+]  # fmt: skip
+
+SETTINGS = """
+vm = "front-1"
+host = "127.0.0.1"
+data_centre = "vaxjo"
+region = "smaland"
+store = "127.0.0.9:80"
+peers_port = 7380
+metrics_port = 7395
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+"""
+
+
+class TestStory:
+    @pytest.fixture
+    def lines(self, tmp_path):
+        path = tmp_path / "log"
+        rows = ["not json", "{broken", *(f"12.3 a {json.dumps(row)}" for row in LINES)]
+        path.write_text("\n".join(rows))
+        return list(read_lines([str(path)]))
+
+    def test_answer_without_a_shard_names_the_belief(self, lines):
+        story = find_story(lines, "r1")
+        assert "s1 (i-1 dark)" in name_cause(story)
+        assert not any(line.get("replica") == "i-9" for line in story.beliefs)
+        assert not any(line.get("belief") == "slow" for line in story.beliefs)
+
+    def test_refusal_names_its_kind_and_the_age_of_the_view(self, lines):
+        cause = name_cause(find_story(lines, "r2"))
+        assert "no_replica (ran: no)" in cause
+        assert "0.4 s old" in cause
+
+    def test_late_answer_names_what_was_tried(self, lines):
+        text = "\n".join(format_story(find_story(lines, "r3")))
+        assert "after 900.0 ms; tried ['i-1']" in text
+        assert "belief=sound" in text
+
+    def test_unknown_id(self, lines):
+        assert "no line bears this id" in name_cause(find_story(lines, "r9"))
+
+    def test_missing_file(self):
+        with pytest.raises(UsageError, match="nowhere"):
+            list(read_lines(["nowhere"]))
+
+
+class TestRounds:
+    def test_draws_what_the_journal_holds(self, tmp_path):
+        day = {"G": 0.5, "slot": "trouble"}
+        entry = {"cmd": "score", "site": "s", "at": ["now"], "days": [day], "why": "w"}
+        for number, gate in enumerate((0.0, 1.0)):
+            entry["figures"] = {"gate": gate}
+            (tmp_path / f"{number}.json").write_text(json.dumps(entry))
+        rounds = read_rounds(str(tmp_path))
+        assert [each.passed for each in rounds] == [False, True]
+        draw_rounds(rounds, str(tmp_path / "rounds.png"))
+        assert (tmp_path / "rounds.png").stat().st_size > 0
+
+    def test_empty_folder(self, tmp_path):
+        with pytest.raises(UsageError, match="no scored round"):
+            read_rounds(str(tmp_path))
+
+
+class TestFrontSettings:
+    def write(self, tmp_path, text):
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        return str(path)
+
+    def test_valid(self, tmp_path):
+        found = read_front_settings(self.write(tmp_path, SETTINGS))
+        assert found.listen.directory is None
+
+    @pytest.mark.parametrize(
+        ("old", "new", "key"),
+        [
+            ('vm = "front-1"', "vm = 3", "vm"),
+            ("peers_port = 7380", "peers_port = 99999", "peers_port"),
+            ('host = "127.0.0.1"', 'hots = "127.0.0.1"', "hots"),
+            ('store = "127.0.0.9:80"', 'store = "here"', "store"),
+            ('callers = "127.0.0.1:1"', "", "listen.callers"),
+        ],
+    )
+    def test_what_does_not_fit_names_the_key(self, tmp_path, old, new, key):
+        with pytest.raises(SettingsError, match=key):
+            read_front_settings(self.write(tmp_path, SETTINGS.replace(old, new)))
+
+    def test_no_file_is_named(self, monkeypatch):
+        monkeypatch.delenv("ANVILHOIST_SETTINGS", raising=False)
+        with pytest.raises(SettingsError, match="missing"):
+            read_front_settings(None)
+
+
+class TestChoosePause:
+    def test_grows_with_the_fleet_up_to_a_bound(self):
+        assert choose_pause(1) < choose_pause(4) < choose_pause(33)
+        assert choose_pause(890) == PAUSE_MOST_S
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -13,7 +13,13 @@
 from anvilhoist.clock import read_boottime
 from anvilhoist.site.load import Load
 from anvilhoist.site.promises import Left, check_promises
-from anvilhoist.site.site import DATA_CENTRES, NEXT_SHARDS, SHARDS, Site
+from anvilhoist.site.site import (
+    DATA_CENTRES,
+    NEXT_SHARDS,
+    SHARDS,
+    SINGLE,
+    Site,
+)
 from conftest import WORKER
 
 LEAVE_S = 3.0
@@ -24,14 +30,16 @@
 Act = Callable[[Site, Load], Awaitable[list[Left] | None]]
 
 
-def play(act: Act, whole: bool = True, seconds: float = 1.5) -> tuple[list, Site, list]:
+def play(
+    act: Act, whole: bool = True, seconds: float = 1.5, work_s=0.01, reuse=0.8
+) -> tuple[list, Site, list]:
     """Results of a load while something happens, and the promises broken."""
 
     async def run():
         site = Site(next(_bases))
         try:
-            await site.start()
-            load = Load(site, SEED)
+            await site.start(work_s)
+            load = Load(site, SEED, reuse=reuse)
             load.start()
             await asyncio.sleep(0.5)
             left = await act(site, load) or []
@@ -98,7 +106,7 @@
             site.start_vm(vm)
             await site.wait_ready(vm)
 
-        results, _, breaches = play(act)
+        results, _, breaches = play(act, work_s=0.1, reuse=0.2)
         assert not breaches
         assert served(results) == 1.0
 
@@ -147,7 +155,8 @@
     @pytest.mark.parametrize("fault", ["extra", "cut", "reset", "unframed", "shed"])
     def test_spoilt_answers(self, fault):
         async def act(site, load):
-            for instance in list(site.entries)[::2]:
+            singles = [i for i, e in site.entries.items() if e.service == SINGLE]
+            for instance in {*list(site.entries)[::2], *singles}:
                 await site.set_fault(instance, fault)
 
         results, _, breaches = play(act)
