The users' protocol in make run; the story of a failed query names its shards

Cause: make run showed only the product's own interface. A query that failed with too few shards ends with a refusal line, and the story told that line's kind, not the shards and beliefs behind it.

Change: a demonstration on a small site (calm, drain, data centre out and back, SIGTERM and start), judged by the same checker as the soak; the story looks for the line that names missing shards first, with a test that failed before. Unused names removed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test bench capacity clean
+.PHONY: setup run test bench capacity soak clean
 
 setup: $(VENV)/.ready
 
@@ -14,6 +14,7 @@
 
 run: setup
 	$(BIN)/anvilhoist-bench demo
+	$(BIN)/python -m anvilhoist.site.demo
 
 test: setup
 	$(BIN)/ruff format --check src tests
@@ -27,5 +28,8 @@
 capacity: setup
 	$(BIN)/anvilhoist-bench capacity
 
+soak: setup
+	$(BIN)/python -m anvilhoist.site.soak --seed $(or $(SEED),1) --count $(or $(COUNT),50)
+
 clean:
 	rm -rf $(VENV) reports
--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -21,8 +21,6 @@
 from ..world.view import View
 from .call import NEVER_RAN, Call, Verdict
 
-log = structlog.get_logger()
-
 
 @dataclass(slots=True)
 class Context:
@@ -123,6 +121,8 @@
             replica.health.report_load(load, self.now())
         if verdict is Verdict.OTHER_INSTANCE:
             replica.retire()
-            log.info("replica_gone", replica=instance, why="another has its address")
+            structlog.get_logger().info(
+                "replica_gone", replica=instance, why="another has its address"
+            )
         if verdict in NEVER_RAN:
             self.metrics.count("replica_rejected")
--- a/src/anvilhoist/oncall/story.py
+++ b/src/anvilhoist/oncall/story.py
@@ -102,7 +102,8 @@
     """Name in one sentence what decided the request."""
     if not story.lines:
         return "no line bears this id: it reached no process, or lines were dropped"
-    line = story.lines[-1]
+    line = next((each for each in story.lines if each.get("missing")), None)
+    line = line or story.lines[-1]
     if line["event"] == "refused":
         age = line.get("view_age_s")
         return (
--- /dev/null
+++ b/src/anvilhoist/site/demo.py
@@ -0,0 +1,63 @@
+"""The users' protocol, shown once on a small site: a part of `make run`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+from ..process import run_binary
+from .load import Load, describe
+from .promises import Left, check_promises
+from .site import DATA_CENTRES, Site
+
+BASE = 50
+SEED = 11
+CALM_S = 2.0
+
+
+def demo():
+    """Start a small site, show it, stop it; exit code 1 if a promise was broken."""
+
+    async def run() -> int:
+        site = Site(BASE)
+        try:
+            print("starting: store, replicas, three VMs of the front")
+            await site.start()
+            load = Load(site, SEED)
+            load.start()
+            await asyncio.sleep(CALM_S)
+            print(f"calm: {describe(load.results)}")
+            left = await _show_changes(site)
+            results = await load.stop()
+            print(f"in all: {describe(results)}")
+            arrivals = json.loads(await site.order_replicas("arrivals"))
+            runs = await site.read_runs()
+            breaches = check_promises(results, runs, arrivals, left, whole=True)
+            print(f"promises broken: {[str(breach) for breach in breaches] or 'none'}")
+            return 1 if breaches else 0
+        finally:
+            await site.stop()
+            print(f"stopped, exit codes {sorted(set(site.exit_codes))}")
+
+    return run
+
+
+async def _show_changes(site: Site) -> list[Left]:
+    instance = next(iter(site.entries))
+    print(f"{instance} drains; {DATA_CENTRES[1]} is taken out and brought back")
+    await site.drain(instance)
+    await site.take_out(DATA_CENTRES[1], True)
+    await asyncio.sleep(CALM_S)
+    await site.take_out(DATA_CENTRES[1], False)
+    vm = site.fleet[0]
+    print(f"{vm.name} gets SIGTERM and starts again")
+    site.signal_vm(vm, signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, 10)
+    site.start_vm(vm)
+    await site.wait_ready(vm)
+    return []
+
+
+if __name__ == "__main__":
+    run_binary("anvilhoist-site-demo", demo)
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -16,9 +16,6 @@
 CONNECT_LIMIT_S = 0.8  # s; the peer's own limit for a new connection is a second
 IDLE_LIMIT_S = 4.0  # s after which an idle connection isn't trusted any more
 KEEP_ALIVE_MARGIN_S = 0.7  # s before the server's own idle limit
-GONE_LIMIT_S = 2.0  # s without any contact, after which connections are given up
-
-Release = Callable[[Outcome], None]
 
 
 class Exchange:
--- a/tests/test_oncall.py
+++ b/tests/test_oncall.py
@@ -69,6 +69,12 @@
         assert "after 900.0 ms; tried ['i-1']" in text
         assert "belief=sound" in text
 
+    def test_failed_query_names_its_shards_rather_than_the_refusal(self, lines):
+        query = {**lines[5], "request": "r4", "outcome": "failed"}
+        refusal = {**lines[6], "request": "r4", "kind": "too_few_shards"}
+        cause = name_cause(find_story([*lines[:5], query, refusal], "r4"))
+        assert cause.startswith("failed after 210.1 ms without 1 shards: s1 (i-1 dark")
+
     def test_unknown_id(self, lines):
         assert "no line bears this id" in name_cause(find_story(lines, "r9"))
 
