--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -66,7 +66,11 @@
         self._headers: Headers = prepare_headers(call)
         self._durations: Durations = context.usual.get(route.name, route.target_s)
         self._schedule: Schedule = plan_schedule(
-            route, call.request.arrived, call.deadline, self._durations.late_s
+            route,
+            call.request.arrived,
+            call.deadline,
+            self._durations.late_s,
+            call.request.round_trip_s,
         )
         self._in = 0
         self._undecided = len(self._shards)
@@ -275,6 +279,7 @@
             shards_in=self._in,
             missing=missing,
             tried={shard.service: shard.tried for shard in self._shards},
+            round_trip_ms=round(self._call.request.round_trip_s * 1000, 2),
             hedges=self._hedges,
             retries=self._retries,
             hedge_ms=round(
--- a/src/anvilhoist/http/messages.py
+++ b/src/anvilhoist/http/messages.py
@@ -42,6 +42,8 @@
         Time at which its last byte was read, in seconds.
     keep_alive : bool
         Whether the caller wants to reuse the connection.
+    round_trip_s : float
+        Time to the caller and back, in seconds; 0 where it is not known.
     """
 
     method: bytes
@@ -50,6 +52,7 @@
     body: bytes = b""
     arrived: float = 0.0
     keep_alive: bool = True
+    round_trip_s: float = 0.0
 
     @property
     def path(self) -> str:
--- a/src/anvilhoist/http/server.py
+++ b/src/anvilhoist/http/server.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -19,6 +21,10 @@
 HEADER_FRAMING = 4  # bytes of a header beside its name and value
 BACKLOG = 1024  # connections, so that a burst of new ones is not dropped
 
+TCP_INFO_BYTES = 72  # bytes of the kernel's figures up to the round-trip time
+ROUND_TRIP_AT = 68  # byte at which it stands, in microseconds
+LONGEST_ROUND_TRIP_S = 0.5  # s; a larger figure tells of a fault, not of the way
+
 Handle = Callable[[Request], Awaitable[Response]]
 
 
@@ -40,6 +46,21 @@
     idle_s: float = 15.0
 
 
+def read_round_trip(connection: socket.socket) -> float:
+    """Round-trip time of a connection as the kernel measured it, in seconds, or 0."""
+    try:
+        info = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    (microseconds,) = struct.unpack_from("I", info, ROUND_TRIP_AT)
+    seconds = microseconds / 1e6
+    return seconds if seconds < LONGEST_ROUND_TRIP_S else 0.0
+
+
 @dataclass(slots=True)
 class HttpServer:
     """A listening address and its open connections.
@@ -198,6 +219,7 @@
             bytes(self._body),
             read_boottime(),
             self._parser.should_keep_alive(),
+            read_round_trip(self._transport.get_extra_info("socket")),
         )
         self._reset_message()
         self._put(request)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -217,6 +217,20 @@
         assert soon.end_at < 10.1
         assert soon.cut_at <= soon.end_at
 
+    def test_short_objective_over_many_shards_keeps_time_for_the_answer(self):
+        shards = tuple(str(number) for number in range(90))
+        route = make_route("/a/", target_s=0.072, gather=Gather(shards, 5, 0.85))
+        schedule = plan_schedule(route, 0.0, 0.4, 0.02)
+        assert schedule.cut_at <= 0.072 - 0.02
+        assert schedule.hedge_at <= 0.5 * schedule.cut_at
+
+    def test_a_long_way_to_the_caller_is_left_for_the_answer(self):
+        shards = tuple(str(number) for number in range(90))
+        route = make_route("/a/", target_s=0.072, gather=Gather(shards, 5, 0.85))
+        near = plan_schedule(route, 0.0, 0.4, 0.02, 0.002)
+        far = plan_schedule(route, 0.0, 0.4, 0.02, 0.006)
+        assert near.cut_at - far.cut_at == pytest.approx(0.008)
+
     def test_hedge_leaves_time_for_the_second_try(self):
         route = make_route("/a/", target_s=0.2)
         assert plan_schedule(route, 0.0, 9.0, 5.0).hedge_at <= 0.1
