Bound what is received for one request to a server

Cause: only the body of a response was bounded. A server that sends bytes without end in a header, in headers, interim responses, chunk extensions, trailers or copies of responses to other requests filled memory until the request's deadline. Change: the bytes besides bodies have a limit of their own, and the limit of bodies counts those of discarded responses too. Beyond either, the request fails as one that may have run, and the connection is closed. Bodies without end were bounded before.

--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -15,7 +15,9 @@
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long
 # (TCP_USER_TIMEOUT).
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
-MAX_RESPONSE_BODY_BYTES = 4 << 20  # a response with a larger body is a failure
+# Limits on what is received for one request; beyond them, the request fails.
+MAX_RESPONSE_BODY_BYTES = 4 << 20  # bodies, those of discarded responses included
+MAX_FRAMING_BYTES = 256 << 10  # all else: heads, interim responses, chunk framing
 TCP_CLOSE_WAIT = 8  # TCP_INFO state of a connection that received a FIN
 
 ResponseMatcher = Callable[[int, Headers], bool]
@@ -143,10 +145,13 @@
             self.unsolicited += len(data)
             self._close()
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"cannot parse the response as HTTP: {type(error).__name__}")
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self._fail(f"response has over {MAX_FRAMING_BYTES} bytes besides its body")
         self._deliver_outcome()
 
     def eof_received(self) -> bool:
@@ -199,7 +204,9 @@
     def on_body(self, body: bytes) -> None:
         """Collect the body."""
         self._body += body
-        if len(self._body) > MAX_RESPONSE_BODY_BYTES:
+        self._body_bytes += len(body)
+        self._framing_bytes -= len(body)
+        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
             self._fail(f"response body exceeds {MAX_RESPONSE_BODY_BYTES} bytes")
 
     def on_message_complete(self) -> None:
@@ -266,5 +273,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._body = bytearray()
+        self._body_bytes = 0
+        self._framing_bytes = 0
         self._body_ends_at_eof = False
         self._outcome: Outcome | None = None
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -8,12 +8,19 @@
 
 from anvilhoist.errors import ErrorKind, Failure
 from anvilhoist.http.connect import open_connection
-from anvilhoist.http.exchange import Reply, closed_gracefully
+from anvilhoist.http.exchange import (
+    MAX_FRAMING_BYTES,
+    MAX_RESPONSE_BODY_BYTES,
+    Reply,
+    closed_gracefully,
+)
 from anvilhoist.http.messages import find_header
 
 EXPECTED_ID = b"ours"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0 s
 TIMEOUT_S = 5.0
+# Sent bytes may wait in the socket buffers of both ends and in the writer.
+SOCKET_BUFFER_BYTES = 8 << 20
 
 
 def matches(status: int, headers: list) -> bool:
@@ -157,3 +164,79 @@
             client.recv(1)
         assert not closed_gracefully(client)
         client.close()
+
+
+class EndlessServer:
+    """A server that answers a request with bytes that never end."""
+
+    def __init__(self, begin: bytes, repeated: bytes):
+        self.begin = begin
+        self.repeated = repeated
+        self.sent_bytes = 0
+
+    async def serve(self, reader, writer) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.begin)
+            while True:
+                writer.write(self.repeated)
+                self.sent_bytes += len(self.repeated)
+                await writer.drain()
+        except ConnectionError:
+            writer.close()
+
+
+FRAMING_LIMIT = MAX_FRAMING_BYTES + SOCKET_BUFFER_BYTES
+BODY_LIMIT = MAX_RESPONSE_BODY_BYTES + SOCKET_BUFFER_BYTES
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+
+
+class TestEndlessResponse:
+    """The connection is closed at a bound, and the request ends as a failure."""
+
+    @pytest.mark.parametrize(
+        ("begin", "repeated", "max_sent"),
+        [
+            (OK_HEAD + b"a: ", b"x" * 4096, FRAMING_LIMIT),
+            (OK_HEAD, b"a: b\r\n" * 500, FRAMING_LIMIT),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100, FRAMING_LIMIT),
+            (b"", make_response(b"", b"other") * 50, FRAMING_LIMIT),
+            (b"", make_response(b"x" * 9000, b"other"), BODY_LIMIT),
+            (OK_HEAD + b"\r\n", b"x" * 4096, BODY_LIMIT),
+            (
+                OK_HEAD + b"transfer-encoding: chunked\r\n\r\n1;",
+                b"x" * 4096,
+                FRAMING_LIMIT,
+            ),
+            (
+                OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+                b"1000\r\n" + b"x" * 4096 + b"\r\n",
+                BODY_LIMIT,
+            ),
+            (
+                OK_HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n",
+                b"a: b\r\n" * 500,
+                FRAMING_LIMIT,
+            ),
+            (b"", b"\0" * 4096, FRAMING_LIMIT),
+        ],
+        ids=[
+            "header value",
+            "headers",
+            "interim responses",
+            "responses to another request",
+            "bodies to another request",
+            "body without length",
+            "chunk extension",
+            "chunks",
+            "trailers",
+            "no HTTP",
+        ],
+    )
+    def test_ends_at_a_bound(self, begin, repeated, max_sent):
+        server = EndlessServer(begin, repeated)
+        (outcome,), reusable = run_exchanges(server, 1)
+        assert isinstance(outcome, Failure)
+        assert outcome.kind is ErrorKind.UPSTREAM_FAILED
+        assert not reusable
+        assert server.sent_bytes <= max_sent
