Bound the time of a request's head and the responses that a caller leaves unread

Cause: header_s limited only silence, so a head sent one byte at a time held a connection for ever; responses to a caller that does not read were buffered without limit; 100 Continue was sent for requests that were refused, and overtook earlier responses. Change: a head has header_s from its first byte, or from the response before it; no request is handled while the caller leaves responses unread, and after idle_s of that the connection is aborted; a body that is announced as too large is refused with its head; 100 Continue waits for earlier responses. Connections of callers have a module of their own.

--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -18,8 +18,9 @@
 from ..errors import SettingsError
 from ..forward.context import Context
 from ..forward.handler import Forwarder
+from ..http.limits import ConnectionLimits
 from ..http.messages import Request, Response
-from ..http.server import CHECK_INTERVAL_S, ConnectionLimits, HttpServer
+from ..http.server import CHECK_INTERVAL_S, HttpServer
 from ..logs import configure_logs
 from ..metrics import Metrics
 from ..peers.exchange import answer_peer
--- /dev/null
+++ b/src/anvilhoist/http/caller_connection.py
@@ -0,0 +1,283 @@
+"""Connections of callers: their requests in order, and the responses."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from functools import partial
+from typing import TYPE_CHECKING
+
+import httptools
+import structlog
+
+from ..clock import read_boottime
+from .limits import ConnectionLimits
+from .messages import Headers, Request, Response, encode_response, find_header
+
+if TYPE_CHECKING:
+    from .server import HttpServer
+
+MAX_PIPELINED_REQUESTS = 16  # reading pauses at this queue length, to bound memory
+LINGER_S = 0.5  # for the client to read the last response before the close
+HEADER_FRAMING_BYTES = 4  # ": " and CRLF of a header line
+CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+TCP_INFO_BYTES = 72  # `struct tcp_info` of the kernel up to the end of `tcpi_rtt`
+TCPI_RTT_OFFSET_BYTES = 68  # offset of `tcpi_rtt`, which is in microseconds
+# A round-trip time this long comes from a fault, not from the network path, and
+# counts as unknown.
+MAX_ROUND_TRIP_S = 0.5
+
+
+def read_round_trip(connection: socket.socket) -> float:
+    """Return the kernel's round-trip estimate of a socket in s, or 0 if unknown."""
+    try:
+        info = connection.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+    except OSError:
+        return 0.0
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0
+    (microseconds,) = struct.unpack_from("I", info, TCPI_RTT_OFFSET_BYTES)
+    seconds = microseconds / 1e6
+    return seconds if seconds < MAX_ROUND_TRIP_S else 0.0
+
+
+class CallerConnection(asyncio.Protocol):
+    """Connection of one client; one task handles its requests in order."""
+
+    def __init__(self, server: HttpServer):
+        self._server = server
+        self._parser = httptools.HttpRequestParser(self)
+        # Requests to handle; an error response, if any, comes last.
+        self._queue: deque[Request | Response] = deque()
+        self._queue_changed: asyncio.Future | None = None
+        self._task: asyncio.Task | None = None
+        self._transport: asyncio.Transport | None = None
+        self._is_handling = False
+        self._is_reading_head = False
+        self._input_ended = False
+        self._is_closing = False
+        self._writable: asyncio.Future | None = None
+        self._last_active_at = read_boottime()
+        # When the caller began to send a request, or got the response before it.
+        self._head_due_from = self._last_active_at
+        self._continue_due = False
+        self._reset_request()
+
+    @property
+    def requests_in_flight(self) -> int:
+        """Number of requests that have been read and are not yet answered."""
+        return len(self._queue) + self._is_handling
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the connection's task."""
+        self._transport = transport
+        self._server.connections.add(self)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the task, as its responses can no longer be sent."""
+        self._is_closing = True
+        self._server.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Handle no further request until the caller reads its responses."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Continue once the caller has read most of its responses."""
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
+    def eof_received(self) -> bool:
+        """Close the connection when the client has closed its side."""
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        A malformed request is answered with status 400 after the requests before it,
+        and nothing more is read.
+        """
+        if self._input_ended:
+            return
+        if not self._is_head_complete:
+            self._head_bytes += len(data)
+        self._last_active_at = read_boottime()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request itself is queued; the bytes after it are not HTTP.
+            self._input_ended = True
+        except httptools.HttpParserError:
+            self._refuse(400)
+        if not self._is_head_complete:
+            self._check_head_size()
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._is_reading_head = True
+        self._head_due_from = read_boottime()
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self._url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Check the size of the head, and answer `Expect: 100-continue`."""
+        self._is_reading_head = False
+        self._is_head_complete = True
+        # The bytes counted so far may include some of the body, so the size of the
+        # head is computed from its parts.
+        self._head_bytes = len(self._url) + sum(
+            len(name) + len(value) + HEADER_FRAMING_BYTES
+            for name, value in self._headers
+        )
+        self._check_head_size()
+        content_length = find_header(self._headers, b"content-length") or b""
+        if content_length.isdigit():
+            self._check_body_size(int(content_length))
+        expected = find_header(self._headers, b"expect") or b""
+        self._continue_due = expected.lower() == b"100-continue"
+        self._send_continue_if_due()
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body up to its limit."""
+        if self._input_ended:
+            return
+        self._body += body
+        self._check_body_size(len(self._body))
+
+    def on_message_complete(self) -> None:
+        """Queue the complete request for the connection's task."""
+        if self._input_ended:
+            return
+        request = Request(
+            self._parser.get_method(),
+            self._url,
+            self._headers,
+            bytes(self._body),
+            read_boottime(),
+            self._parser.should_keep_alive(),
+            partial(read_round_trip, self._transport.get_extra_info("socket")),
+        )
+        self._reset_request()
+        self._enqueue(request)
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request is being read or in flight."""
+        if (
+            self.requests_in_flight
+            or self._is_reading_head
+            or self._is_head_complete
+            or self._is_closing
+        ):
+            return
+        self._transport.close()
+
+    def enforce_timeouts(self, now: float, limits: ConnectionLimits) -> None:
+        """Refuse a request that arrives too slowly; close an idle connection.
+
+        A caller that does not read its responses is idle, too.
+        """
+        inactive_s = now - self._last_active_at
+        if self._writable is not None:
+            if inactive_s > limits.idle_s:
+                self._transport.abort()
+            return
+        if self.requests_in_flight:
+            return
+        head_s = now - self._head_due_from if self._is_reading_head else 0.0
+        body_s = inactive_s if self._is_head_complete else 0.0
+        if max(head_s, body_s) > limits.header_s:
+            self._refuse(408)
+        elif inactive_s > limits.idle_s:
+            self._transport.close()
+
+    async def _serve(self) -> None:
+        while True:
+            while not self._queue:
+                self._send_continue_if_due()
+                self._queue_changed = asyncio.get_running_loop().create_future()
+                await self._queue_changed
+            item = self._queue.popleft()
+            if isinstance(item, Response):
+                return self._send_last_response(item)
+            self._is_handling = True
+            response = await self._call_handler(item)
+            self._is_handling = False
+            self._last_active_at = self._head_due_from = read_boottime()
+            if self._input_ended and not self._queue:
+                return self._send_last_response(response)
+            if self._server.draining or not item.keep_alive:
+                return self._send_last_response(response)
+            self._transport.write(encode_response(response, close=False))
+            if self._writable is not None:
+                await self._writable
+            if len(self._queue) < MAX_PIPELINED_REQUESTS:
+                self._transport.resume_reading()
+
+    async def _call_handler(self, request: Request) -> Response:
+        try:
+            return await self._server.handle(request)
+        except Exception:
+            structlog.get_logger().exception("handler_failed", server=self._server.name)
+            return Response(500)
+
+    def _send_last_response(self, response: Response) -> None:
+        self._input_ended = True
+        self._is_closing = True
+        self._transport.write(encode_response(response, close=True))
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+        loop = asyncio.get_running_loop()
+        loop.call_later(LINGER_S, self._transport.close)
+
+    def _enqueue(self, item: Request | Response) -> None:
+        self._queue.append(item)
+        if len(self._queue) >= MAX_PIPELINED_REQUESTS:
+            self._transport.pause_reading()
+        if self._queue_changed is not None and not self._queue_changed.done():
+            self._queue_changed.set_result(None)
+
+    def _refuse(self, status: int) -> None:
+        if self._input_ended:
+            return
+        self._input_ended = True
+        structlog.get_logger().info(
+            "request_refused", server=self._server.name, status=status, ran="no"
+        )
+        self._enqueue(Response(status))
+
+    def _send_continue_if_due(self) -> None:
+        # An earlier request's response comes first.
+        if self._continue_due and not (self._input_ended or self.requests_in_flight):
+            self._continue_due = False
+            self._transport.write(CONTINUE_RESPONSE)
+
+    def _check_body_size(self, size_bytes: int) -> None:
+        if size_bytes > self._server.read_limits().body_bytes:
+            self._refuse(413)
+
+    def _check_head_size(self) -> None:
+        if self._head_bytes > self._server.read_limits().header_bytes:
+            self._refuse(431)
+
+    def _reset_request(self) -> None:
+        self._url = b""
+        self._headers: Headers = []
+        self._body = bytearray()
+        self._is_head_complete = False
+        self._head_bytes = 0
+        self._continue_due = False
--- a/src/anvilhoist/platform/documents.py
+++ b/src/anvilhoist/platform/documents.py
@@ -10,7 +10,7 @@
 import structlog
 from msgspec import Meta, Struct
 
-from ..http.server import ConnectionLimits
+from ..http.limits import ConnectionLimits
 from ..world.model import (
     Change,
     Configuration,
--- a/src/anvilhoist/site/site.py
+++ b/src/anvilhoist/site/site.py
@@ -18,7 +18,7 @@
 import tomli_w
 
 from ..clock import read_boottime
-from ..http.server import ConnectionLimits
+from ..http.limits import ConnectionLimits
 from ..platform import names
 from ..platform.publish import (
     data_centre_out_key,
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
+from ..http.limits import ConnectionLimits
 from ..http.messages import Request, Response
-from ..http.server import ConnectionLimits, HttpServer
+from ..http.server import HttpServer
 from ..platform import names
 from ..platform.publish import (
     StoreItem,
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ..http.server import ConnectionLimits
+from ..http.limits import ConnectionLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -17,8 +17,9 @@
 from anvilhoist.forward.routes import RouteTable, choose_service
 from anvilhoist.forward.timing import plan_schedule
 from anvilhoist.front.stopping import plan_shutdown
+from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request, Response, strip_hop_by_hop_headers
-from anvilhoist.http.server import ConnectionLimits, HttpServer
+from anvilhoist.http.server import HttpServer
 from anvilhoist.logs import MAX_BUFFER_BYTES, LogBuffer
 from anvilhoist.world.model import Configuration, Gather, Route
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,8 @@
 
 from anvilhoist.clock import read_boottime
 from anvilhoist.directory import MAX_ADDRESSES, AddressDirectory
-from anvilhoist.http.server import ConnectionLimits, HttpServer
+from anvilhoist.http.limits import ConnectionLimits
+from anvilhoist.http.server import HttpServer
 from anvilhoist.peers.exchange import PeerClient, answer_peer
 from anvilhoist.peers.gossip import choose_targets
 from anvilhoist.peers.heartbeats import HEARTBEAT_PERIOD_S
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -7,7 +7,7 @@
 import pytest
 
 from anvilhoist.errors import ErrorKind, Failure
-from anvilhoist.http.server import ConnectionLimits
+from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.peers.messages import (
     ViewMessage,
     decode_view,
