Decode what the store, other VMs and callers send element by element, within bounds

Cause: one store event or item of another form ended the task that follows the store, and with it the process, or made every read fail; a heartbeat whose host is no IPv4 address broke all later heartbeats of the receiver and stopped it; an answer to a heartbeat went to any address that the datagram named; ages, deadlines and numbers of a configuration were taken as NaN, negative or enormous; deep nesting was not caught. Change: malformed items are logged (item_ignored) and skipped, the rest applies; addresses, ages and numbers have one set of bounded types in validation.py; a heartbeat counts only from the address that it names.

--- a/src/anvilhoist/peers/heartbeats.py
+++ b/src/anvilhoist/peers/heartbeats.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from ..errors import Failure
+from ..errors import ErrorKind, Failure
 from .gossip import ANNOUNCE_DURATION_S, choose_targets
 from .members import Members
 from .messages import Heartbeat, VmState, decode_heartbeat, encode_heartbeat
@@ -57,6 +57,8 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Record a heartbeat; other datagrams are logged and dropped."""
         found = decode_heartbeat(data)
+        if isinstance(found, Heartbeat) and found.host != addr[0]:
+            found = Failure(ErrorKind.BAD_REQUEST, f"sent for {found.host}")
         if isinstance(found, Failure):
             structlog.get_logger().warning(
                 "heartbeat_refused", sender=addr[0], problem=found.detail
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -12,6 +12,7 @@
 from msgspec import Meta
 
 from ..errors import ErrorKind, Failure
+from ..validation import Address, Ipv4Text, NonNegative
 from ..world.model import (
     Change,
     Configuration,
@@ -69,9 +70,9 @@
     vm: str
     incarnation: int
     beat: int
-    host: str
-    callers_address: str
-    peers_address: str
+    host: Ipv4Text
+    callers_address: Address
+    peers_address: Address
     data_centre: str
     region: str
     state: VmState
@@ -122,8 +123,8 @@
 
     revision: int
     changes: tuple[ChangeMessage, ...]
-    age_s: float
-    doubt_s: float = 0.0
+    age_s: NonNegative
+    doubt_s: NonNegative = 0.0
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -152,7 +153,13 @@
     """Decode what another VM has read; log bytes that are not valid and return None."""
     try:
         return msgspec.convert(cbor2.loads(data), ViewMessage)
-    except (msgspec.ValidationError, cbor2.CBORError, ValueError, TypeError) as error:
+    except (
+        msgspec.ValidationError,
+        cbor2.CBORError,
+        ValueError,
+        TypeError,
+        RecursionError,
+    ) as error:
         structlog.get_logger().warning("peer_answer_refused", problem=str(error)[:200])
         return None
 
--- a/src/anvilhoist/platform/documents.py
+++ b/src/anvilhoist/platform/documents.py
@@ -11,6 +11,7 @@
 from msgspec import Meta, Struct
 
 from ..http.limits import ConnectionLimits
+from ..validation import Address, Finite, NonNegative, Positive, Share
 from ..world.model import (
     Change,
     Configuration,
@@ -26,11 +27,17 @@
 from . import names
 
 MS_PER_S = 1000.0
-MAX_NUMBER = 1e15  # bound of the float types below; it also rejects non-finite values
+MAX_RECORDS = 1_000_000  # bound of the records in the answer of a gather query
 
-Finite = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
-NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
-Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
+
+# What decoding of a value that another writer left may raise.
+UNREADABLE_ERRORS = (
+    msgspec.DecodeError,
+    binascii.Error,
+    ValueError,
+    TypeError,
+    RecursionError,
+)
 
 
 class _WireStruct(Struct, rename="kebab", frozen=True):
@@ -49,21 +56,21 @@
     timeout_ms: Positive
     # Despite its name, it says only whether a request may run more than once.
     route_type: str = "non_idempotent"
-    target_latency_ms: float | None = None
+    target_latency_ms: NonNegative | None = None
     max_attempts: Annotated[int, Meta(ge=1)] = 1
     priority: int = 0
     backend: str | None = None
     traffic_split: list[_WeightedBackend] | None = None
     gather: list[str] | None = None
-    top_k: int = 0
-    min_shard_ratio: float = 1.0
+    top_k: Annotated[int, Meta(ge=0, le=MAX_RECORDS)] = 0
+    min_shard_ratio: Share = 1.0
     allowed_regions: list[str] | None = None
 
 
 class _Service(_WireStruct):
     name: str
     max_connections: int = 1024
-    warmup_per_s: float = 0.0
+    warmup_per_s: NonNegative = 0.0
 
 
 class _Limits(_WireStruct):
@@ -82,7 +89,7 @@
 
 class _Replica(_WireStruct):
     backend: Annotated[str, Meta(min_length=1)]
-    address: Annotated[str, Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+    address: Address
     zone: str
     slots: Annotated[int, Meta(ge=1)]
     state: Literal["ready", "draining"]
@@ -93,15 +100,15 @@
     born: Annotated[int, Meta(ge=0)] = 0
 
 
-def decode_item(key: str, value: str) -> Change | None:
+def decode_item(key: str, value: object) -> Change | None:
     """Decode an item of the store.
 
     Parameters
     ----------
     key : str
         Key of the item.
-    value : str
-        Value of the item in base64.
+    value : object
+        Value of the item, which should be text in base64.
 
     Returns
     -------
@@ -136,11 +143,11 @@
     return None
 
 
-def _decode_replica(instance: str, value: str) -> Change:
+def _decode_replica(instance: str, value: object) -> Change:
     try:
         document = base64.b64decode(value, validate=True)
         replica = msgspec.json.decode(document, type=_Replica)
-    except (msgspec.DecodeError, binascii.Error, ValueError) as error:
+    except UNREADABLE_ERRORS as error:
         structlog.get_logger().info(
             "entry_ignored", replica=instance, problem=str(error)
         )
@@ -160,10 +167,10 @@
     )
 
 
-def _decode_configuration(value: str) -> Change | None:
+def _decode_configuration(value: object) -> Change | None:
     try:
         configuration = parse_configuration(base64.b64decode(value, validate=True))
-    except (msgspec.DecodeError, binascii.Error, ValueError) as error:
+    except UNREADABLE_ERRORS as error:
         structlog.get_logger().error(
             "configuration_refused", problem=str(error), kept="last valid"
         )
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Iterable
 from urllib.parse import parse_qs
 
@@ -40,9 +41,12 @@
     deadline_ms = find_header(request.headers, names.DEADLINE_MS)
     try:
         if deadline_ms is not None:
-            wait_s = min(wait_s, max(0.0, float(deadline_ms) / MS_PER_S))
+            wait_s = float(deadline_ms) / MS_PER_S
     except ValueError:
         wait_s = MAX_WAIT_S
+    if math.isnan(wait_s):
+        wait_s = MAX_WAIT_S
+    wait_s = min(MAX_WAIT_S, max(0.0, wait_s))
     return Call(
         request, attempt_id, host.partition(":")[0], request.arrived_at + wait_s
     )
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -23,6 +23,8 @@
 READ_TIMEOUT_S = 1.5  # for one page; several hundred times its usual time
 WATCH_TIMEOUT_MARGIN_S = 0.8  # for a watch, beyond the wait that the store is allowed
 ALL_KEYS_PREFIX = ""
+# What reading an answer that is JSON but has another form may raise.
+MALFORMED_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
 
 
 @dataclass(slots=True)
@@ -95,7 +97,7 @@
             return answer
         try:
             return ChangeBatch(int(answer["at"]), _decode_events(answer["events"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except MALFORMED_ERRORS as error:
             return Failure(
                 ErrorKind.STORE_UNREADABLE, f"malformed answer to a watch: {error!r}"
             )
@@ -121,8 +123,8 @@
                 changes += _decode_items(items)
                 if not page.get("has-more"):
                     return Snapshot(min(revisions), changes)
-                after = items[-1]["key"]
-            except (KeyError, IndexError, TypeError, ValueError) as error:
+                after = _find_last_key(items)
+            except MALFORMED_ERRORS as error:
                 return Failure(
                     ErrorKind.STORE_UNREADABLE, f"malformed page of a read: {error!r}"
                 )
@@ -159,7 +161,7 @@
             return Failure(ErrorKind.STORE_UNREACHED, f"{path}: status {reply.status}")
         try:
             return json.loads(reply.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             return Failure(
                 ErrorKind.STORE_UNREADABLE, f"{path}: not valid JSON: {error}"
             )
@@ -173,20 +175,36 @@
         return await send_request(self._connection, data)
 
 
-def _decode_items(items: list[dict[str, Any]]) -> list[Change]:
-    changes = (decode_item(item["key"], item["value"]) for item in items)
-    return [change for change in changes if change is not None]
+def _find_last_key(items: list[Any]) -> str:
+    keys = [item["key"] for item in items if _has_key(item)]
+    if not keys:
+        raise ValueError("a page with more to come has no key")
+    return keys[-1]
 
 
-def _decode_events(events: list[dict[str, Any]]) -> list[Change]:
+def _has_key(item: Any) -> bool:
+    return isinstance(item, dict) and isinstance(item.get("key"), str)
+
+
+def _decode_items(items: list[Any]) -> list[Change]:
     changes: list[Change] = []
-    for event in events:
-        if event.get("deleted"):
-            change = decode_removal(event["key"])
+    for item in items:
+        # One malformed item must not keep the others from being used.
+        if not _has_key(item):
+            structlog.get_logger().warning("item_ignored", problem=repr(item)[:80])
+            continue
+        if item.get("deleted"):
+            change = decode_removal(item["key"])
         else:
-            change = decode_item(event["key"], event["value"])
+            change = decode_item(item["key"], item.get("value"))
         if change is not None:
             changes.append(change)
+    return changes
+
+
+def _decode_events(events: list[Any]) -> list[Change]:
+    changes = _decode_items(events)
+    for change in changes:
         if isinstance(change, DataCentreChanged):
             structlog.get_logger().info(
                 "data_centre_order", name=change.data_centre, out=change.out
--- a/src/anvilhoist/validation.py
+++ b/src/anvilhoist/validation.py
@@ -1,8 +1,28 @@
-"""Messages about invalid input that begin with the key."""
+"""Types of values at the border, and messages about invalid input."""
 
 from __future__ import annotations
 
 import re
+from typing import Annotated
+
+from msgspec import Meta
+
+MAX_NUMBER = 1e15  # bound of the float types below; it also rejects non-finite values
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_IPV4 = rf"({_OCTET}\.){{3}}{_OCTET}"
+_PORT = (
+    r"([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}"
+    r"|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
+)
+
+Finite = Annotated[float, Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
+Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Ipv4Text = Annotated[str, Meta(pattern=rf"^{_IPV4}\Z")]
+# IP address and port.
+Address = Annotated[str, Meta(pattern=rf"^{_IPV4}:{_PORT}\Z")]
 
 _FIELD_PROBLEM = re.compile(r"(?P<problem>missing|unknown).* field `(?P<key>[^`]+)`")
 
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..http.limits import ConnectionLimits
+from ..validation import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,7 +138,7 @@
 
     instance: str
     service: str
-    address: str
+    address: Address
     data_centre: str
     slots: int
     draining: bool = False
