Restart failed tasks, keep timers apart, and reload settings in a module of its own

Cause: an exception in any long-lived task, or in one timer's callback, stopped the process by SIGTERM with exit code 70; so did an unexpected error of one booking. A reload logged settings_wait and settings_in_force every 2 s after a change that needs a restart, did not name most of those settings, and stayed silent about a fault that came back. Change: long-lived tasks are started again with a delay that doubles, a failing timer is logged and the others run, a booking's error leaves an outcome that is unknown; exit code 70 is gone. front/reload.py names what waits for a restart, logs it once, and applies bounds at run time; settings and documents share one set of number and address types.

--- a/src/anvilhoist/clock.py
+++ b/src/anvilhoist/clock.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import time
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import structlog
+
 TICK_INTERVAL_S = 0.1  # subscribers are called at the first tick after they are due
 
 
@@ -56,7 +59,10 @@
         self._lag_callbacks.append(callback)
 
     def tick(self) -> None:
-        """Report how late the tick is, then call the subscribers that are due."""
+        """Report how late the tick is, then call the subscribers that are due.
+
+        A subscriber that fails is logged, and called again when it is next due.
+        """
         now = self.now()
         elapsed_s = 0.0 if self._last_tick_at is None else now - self._last_tick_at
         if self._last_tick_at is not None:
@@ -67,7 +73,16 @@
             if now < subscription.due_at:
                 continue
             subscription.due_at = now + subscription.period_s
-            subscription.callback(now)
+            try:
+                subscription.callback(now)
+            except Exception:
+                structlog.get_logger().error(
+                    "timer_failed",
+                    callback=getattr(
+                        subscription.callback, "__qualname__", "(partial)"
+                    ),
+                    trace=traceback.format_exc(),
+                )
 
     async def run(self) -> None:
         """Tick until the task is cancelled."""
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -10,12 +10,10 @@
 from typing import TYPE_CHECKING
 
 import structlog
-from msgspec.structs import replace
 
 from .. import __version__
 from ..clock import TimerService, read_boottime
 from ..directory import AddressDirectory
-from ..errors import SettingsError
 from ..forward.context import Context
 from ..forward.handler import Forwarder
 from ..http.limits import ConnectionLimits
@@ -36,15 +34,16 @@
     parse_resolve_request,
 )
 from ..platform.store import StoreClient
-from ..tasks import cancel_tasks, start_critical_task
+from ..tasks import cancel_tasks, start_supervised_task
 from ..upstreams.budget import RetryBudget, RetryBudgetLimits
 from ..upstreams.latency import RouteLatencies
 from ..upstreams.registry import ReplicaRegistry
 from ..world.follow import StoreFollower
 from ..world.model import Service
 from ..world.view import View
+from .reload import SettingsReloader
 from .report import answer_operators, log_summary, register_gauges
-from .settings import FrontSettings, read_front_settings
+from .settings import Bounds, FrontSettings
 from .stopping import plan_shutdown
 
 if TYPE_CHECKING:
@@ -66,12 +65,9 @@
     ----------
     settings : FrontSettings
         Settings in force.
-    settings_path : str or None
-        File that `reload` reads; None for the one that the environment names.
     """
 
     settings: FrontSettings
-    settings_path: str | None = None
     state: VmState = VmState.STARTING
     incarnation: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     timers: TimerService = field(default_factory=TimerService)
@@ -88,7 +84,6 @@
     store_client: StoreClient = field(init=False)
     _api_server: SearchServer | None = None
     _heartbeat_count: int = 0
-    _problem: str = ""  # last logged problem with the settings file
 
     def __post_init__(self):
         settings = self.settings
@@ -100,16 +95,12 @@
             now, self._find_service, self._count_vms, self.members.ranks_first_for
         )
         self.view = View(now, self.replicas.update, self._mark_ready)
-        bounds = settings.bounds
-        limits = RetryBudgetLimits(
-            bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
-        )
         self.context = Context(
             now,
             settings.data_centre,
             self.view,
             self.replicas,
-            RetryBudget(limits, self._count_vms),
+            RetryBudget(make_budget_limits(settings.bounds), self._count_vms),
             RouteLatencies(),
             Metrics(settings.vm, "front"),
             settings.data_centres,
@@ -167,41 +158,23 @@
         self._subscribe_timers()
         register_gauges(self)
         relay_tasks = [
-            start_critical_task(self.peer_reader.follow_relay(index))
+            start_supervised_task(
+                "relay", partial(self.peer_reader.follow_relay, index)
+            )
             for index in RELAY_INDEXES
         ]
         return [
             *relay_tasks,
-            start_critical_task(follower.run()),
-            start_critical_task(self.timers.run()),
+            start_supervised_task("store", follower.run),
+            start_supervised_task("timers", self.timers.run),
         ]
 
-    def reload(self, now: float = 0.0) -> None:
-        """Read the settings file again, and apply what can change at run time.
-
-        A file that can't be read or is not valid changes nothing. `listen` and `host`
-        keep their values until a restart. Other settings that are read only at the
-        start, such as `store`, the ports and the retry limits, also take effect only
-        with a restart, but no warning is logged for them.
-        """
-        log = structlog.get_logger()
-        try:
-            new = read_front_settings(self.settings_path)
-        except SettingsError as error:
-            if str(error) != self._problem:
-                self._problem = str(error)
-                log.error("settings_refused", problem=self._problem, kept="last valid")
-            return
-        if new == self.settings:
-            return
-        if new.listen != self.settings.listen or new.host != self.settings.host:
-            log.warning("settings_wait", why="listen and host need a restart")
-        self.members.seeds = new.seed_hosts
-        self.context.region_by_data_centre = new.data_centres
-        self.settings = replace(
-            new, listen=self.settings.listen, host=self.settings.host
-        )
-        log.info("settings_in_force", seeds=new.seeds)
+    def apply_settings(self, settings: FrontSettings) -> None:
+        """Apply settings that were read again."""
+        self.settings = settings
+        self.members.seeds = settings.seed_hosts
+        self.context.region_by_data_centre = settings.data_centres
+        self.context.budget.limits = make_budget_limits(settings.bounds)
 
     async def stop(self) -> None:
         """Shut down gracefully: complete requests while callers move to other VMs."""
@@ -233,7 +206,6 @@
         timers.subscribe(CHECK_INTERVAL_S, self.view.drop_missing)
         for server in (self.caller_server, *self._other_servers):
             timers.subscribe(CHECK_INTERVAL_S, server.enforce_timeouts)
-        timers.subscribe(SETTINGS_CHECK_INTERVAL_S, self.reload)
         timers.subscribe(SUMMARY_INTERVAL_S, partial(log_summary, self))
 
     def _mark_ready(self) -> None:
@@ -306,6 +278,13 @@
         return configuration.limits if configuration else ConnectionLimits()
 
 
+def make_budget_limits(bounds: Bounds) -> RetryBudgetLimits:
+    """Return the limits of the retry budget that the settings name."""
+    return RetryBudgetLimits(
+        bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
+    )
+
+
 async def start_api_server(front: Front, address: str) -> SearchServer:
     """Start the server of the JSON interface."""
     # Imported only here: the libraries of the JSON interface double the start time.
@@ -334,13 +313,15 @@
     log_buffer = configure_logs(settings.vm)
     log = structlog.get_logger()
     log.info("start", version=__version__, host=settings.host)
-    front = Front(settings, settings_path)
+    front = Front(settings)
+    reloader = SettingsReloader(settings_path, settings, front.apply_settings)
+    front.timers.subscribe(SETTINGS_CHECK_INTERVAL_S, reloader.reload)
     front.timers.subscribe(LOG_FLUSH_INTERVAL_S, log_buffer.flush)
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
     loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, front.reload)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     tasks = await front.start()
     await stop_requested.wait()
     log.info("stop_begins", requests=front.requests_in_flight)
--- a/src/anvilhoist/front/settings.py
+++ b/src/anvilhoist/front/settings.py
@@ -10,15 +10,16 @@
 from msgspec import Meta, Struct
 
 from ..errors import SettingsError
-from ..validation import format_validation_error
+from ..validation import (
+    Address,
+    Ipv4Text,
+    NonNegative,
+    Positive,
+    format_validation_error,
+)
 
 SETTINGS_VARIABLE = "ANVILHOIST_SETTINGS"
-MAX_NUMBER = 1e9  # upper bound of each float, which also rejects non-finite ones
-Address = Annotated[str, Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
-Host = Annotated[str, Meta(pattern=r"^[0-9.]{7,15}$")]
 Port = Annotated[int, Meta(gt=0, lt=65536)]
-Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
-NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
 
 
 class Listen(Struct, frozen=True, forbid_unknown_fields=True):
@@ -88,7 +89,7 @@
     """
 
     vm: Annotated[str, Meta(min_length=1)]
-    host: Host
+    host: Ipv4Text
     data_centre: str
     region: str
     store: Address
--- a/src/anvilhoist/loop.py
+++ b/src/anvilhoist/loop.py
@@ -9,8 +9,6 @@
 
 import uvloop
 
-from .tasks import resolve_exit_code
-
 GC_YOUNG_THRESHOLD = 5_000  # net allocations between collections of generation 0
 GC_OLD_THRESHOLD = 20  # collections of a generation before the next older is collected
 
@@ -26,4 +24,4 @@
     gc.set_threshold(GC_YOUNG_THRESHOLD, GC_OLD_THRESHOLD, GC_OLD_THRESHOLD)
     logging.getLogger("sanic").setLevel(logging.CRITICAL)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        return resolve_exit_code(runner.run(main()))
+        return runner.run(main())
--- a/src/anvilhoist/searches/issuer.py
+++ b/src/anvilhoist/searches/issuer.py
@@ -9,7 +9,7 @@
 from expression import Error, Result
 
 from ..errors import ErrorKind, Failure
-from ..tasks import start_critical_task
+from ..tasks import start_task
 from .messages import BookingCall
 from .tickets import Ticket, TicketRegistry, TicketState
 
@@ -55,7 +55,7 @@
             return spent
         if spent.ok:
             self.bookings_in_flight += 1
-            start_critical_task(self._run_and_record(ticket, call))
+            start_task("booking", self._run_and_record(ticket, call))
         return await asyncio.shield(ticket.outcome)
 
     def get_outcome(self, name: str) -> Result[str, Failure]:
@@ -75,7 +75,9 @@
         return ticket.outcome.result()
 
     async def _run_and_record(self, ticket: Ticket, call: BookingCall) -> None:
-        outcome: Result[str, Failure] = Error(Failure(ErrorKind.OUTCOME_UNKNOWN))
+        outcome: Result[str, Failure] = Error(
+            Failure(ErrorKind.OUTCOME_UNKNOWN, "the booking ended with an error")
+        )
         try:
             outcome = await self.run_booking(call)
         finally:
