Avoid failing replicas for requests that must not be repeated

A failure raised the expected cost as if the request could be tried again (1.7 times), less than the surcharge of another data centre, and failures that come fast keep a replica's load low. Change: for requests that must not be repeated, the failure rate counts 20 typical durations.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -81,7 +81,9 @@
                 if self._is_in_region(replica, route.regions)
             ]
         now = self.now()
-        chosen = choose_replica(candidates, self.data_centre, now, self.random, tried)
+        chosen = choose_replica(
+            candidates, self.data_centre, now, self.random, tried, route.repeatable
+        )
         return chosen or choose_probe_target(candidates, now, tried)
 
     def send(
--- a/src/anvilhoist/upstreams/choice.py
+++ b/src/anvilhoist/upstreams/choice.py
@@ -15,14 +15,21 @@
 CROSS_DATA_CENTRE_COST = 0.6  # added cost, in typical durations of a request
 BUSY_SLOTS_COST = 0.3  # relative cost added when all slots are busy
 QUEUE_COST = 1.0  # relative cost added when one request per slot is queued
+# Cost of a request that fails and must not be sent again, in typical durations. It
+# outweighs any wait for a replica that does not fail.
+UNREPEATABLE_FAILURE_COST = 20.0
 MIN_SUCCESS_RATE = 0.05  # keeps the cost finite where every request fails
 # Largest random surcharge, relative to the cost; spreads load over equal replicas.
 TIE_BREAK_JITTER = 0.05
 
 
-def estimate_cost(replica: Replica, data_centre: str, now: float) -> float:
+def estimate_cost(
+    replica: Replica, data_centre: str, now: float, repeatable: bool = True
+) -> float:
     """Return the expected cost of a request, in multiples of its typical duration.
 
+    A failure costs a repeatable request another try, and any other request its result.
+
     Parameters
     ----------
     replica : Replica
@@ -31,6 +38,8 @@
         Data centre of this VM.
     now : float
         Time in seconds.
+    repeatable : bool
+        Whether the request may be sent again after a failure.
     """
     health: Health = replica.health
     slots = replica.entry.slots
@@ -40,7 +49,10 @@
     cost *= 1.0 + (BUSY_SLOTS_COST * min(load, slots) + QUEUE_COST * queued) / slots
     if replica.entry.data_centre != data_centre:
         cost += CROSS_DATA_CENTRE_COST
-    return cost / max(MIN_SUCCESS_RATE, 1.0 - health.estimate_failure_rate(now))
+    failure_rate = health.estimate_failure_rate(now)
+    if not repeatable:
+        return cost + UNREPEATABLE_FAILURE_COST * failure_rate
+    return cost / max(MIN_SUCCESS_RATE, 1.0 - failure_rate)
 
 
 def choose_replica(
@@ -49,6 +61,7 @@
     now: float,
     random: Random,
     tried: Sequence[str] = (),
+    repeatable: bool = True,
 ) -> Replica | None:
     """Choose the usable replica with the lowest estimated cost.
 
@@ -64,6 +77,8 @@
         Breaks ties.
     tried : sequence of str
         Instances that must not be chosen again.
+    repeatable : bool
+        Whether the request may be sent again after a failure.
 
     Returns
     -------
@@ -75,7 +90,7 @@
     for replica in replicas:
         if replica.entry.instance in tried or not replica.is_usable(now):
             continue
-        cost = estimate_cost(replica, data_centre, now) * (
+        cost = estimate_cost(replica, data_centre, now, repeatable) * (
             1.0 + TIE_BREAK_JITTER * random.random()
         )
         if best is None or cost < best_cost:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -82,6 +82,22 @@
             answer_request(pair[0], clock, TYPICAL_S, failed=True)
         assert self.choose(pair, clock) is pair[1]
 
+    @pytest.mark.parametrize("seed", range(5))
+    def test_unrepeatable_requests_avoid_a_replica_that_fails_half(self, clock, seed):
+        near = make_replica(clock, "i-1")
+        far = [make_replica(clock, f"i-{n}", "alvesta") for n in (2, 3)]
+        random = Random(seed)
+        lost = 0
+        for _ in range(100):
+            chosen = choose_replica(
+                [near, *far], OWN_DATA_CENTRE, clock.at, random, repeatable=False
+            )
+            failed = chosen is near and random.random() < 0.5
+            lost += failed
+            answer_request(chosen, clock, TYPICAL_S, failed)
+            clock.at += 0.3
+        assert lost <= 10
+
     def test_tried_draining_and_retired_replicas_are_never_chosen(self, pair, clock):
         assert self.choose(pair, clock, tried=["i-1"]) is pair[1]
         pair[0].retire()
