Take over the age and the grace period of a view that a peer hands out

Cause: a view fetched from a peer while the store is away counted as just synced, whatever its age at the peer, and the peer's grace period for missing replicas was lost; a VM started then passed both errors on to the VMs that read through it. Result: new case in test_peers; the age was 0 s instead of 40 s before.

--- a/src/anvilhoist/peers/reading.py
+++ b/src/anvilhoist/peers/reading.py
@@ -103,16 +103,14 @@
                 "peer_unread", peer=peer.vm, problem=found.detail[:80]
             )
             return None
-        return Snapshot(found.revision, unpack_changes(found))
+        return _unpack_snapshot(found)
 
     async def _read_changes(self, client: PeerClient, relay: Heartbeat) -> bool:
         found = await client.read_changes(self.view.revision, CHANGES_WAIT_S)
         if isinstance(found, HistoryGone):
             found = await client.read_all()
             if isinstance(found, ViewMessage):
-                snapshot = Snapshot(found.revision, unpack_changes(found))
-                self.view.extend_grace_period(found.doubt_s)
-                self.view.replace(snapshot, found.age_s)
+                self.view.replace(_unpack_snapshot(found))
         elif isinstance(found, ViewMessage):
             self.view.extend_grace_period(found.doubt_s)
             self.view.apply(found.revision, unpack_changes(found), found.age_s)
@@ -135,3 +133,9 @@
         elif isinstance(found, ViewMessage) and relay.host in self._lost_relays:
             self._lost_relays.discard(relay.host)
             structlog.get_logger().info("relay_regained", relay=relay.vm)
+
+
+def _unpack_snapshot(message: ViewMessage) -> Snapshot:
+    return Snapshot(
+        message.revision, unpack_changes(message), message.age_s, message.doubt_s
+    )
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -153,7 +153,10 @@
         if found is None:
             return
         structlog.get_logger().info(
-            "published_from_peer", revision=found.revision, known=self.view.revision
+            "published_from_peer",
+            revision=found.revision,
+            known=self.view.revision,
+            view_age_s=round(found.age_s, 2),
         )
         self.view.replace(found)
         self._has_snapshot = True
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -189,7 +189,14 @@
         Store revision that the snapshot is at least as new as.
     changes : list
         One change for each item that exists.
+    age_s : float
+        Time since its source was known to match the store, in seconds; 0 from the store
+        itself.
+    grace_left_s : float
+        Remaining time for which the source keeps replicas without an entry, in seconds.
     """
 
     revision: int
     changes: list[Change] = field(default_factory=list)
+    age_s: float = 0.0
+    grace_left_s: float = 0.0
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -89,7 +89,7 @@
         self._record_sync(age_s)
         self.change_log.add(revision, changes)
 
-    def replace(self, snapshot: Snapshot, age_s: float = 0.0) -> None:
+    def replace(self, snapshot: Snapshot) -> None:
         """Apply a snapshot, and remove replicas that are not in it.
 
         Data centres that it does not list as out of service are brought back. A
@@ -99,9 +99,8 @@
         ----------
         snapshot : Snapshot
             Everything that is published.
-        age_s : float
-            Time since the source's view was known to match the store, in seconds.
         """
+        self.extend_grace_period(snapshot.grace_left_s)
         if snapshot.revision < self.revision:
             structlog.get_logger().info(
                 "published_is_old", revision=snapshot.revision, known=self.revision
@@ -122,7 +121,7 @@
         for data_centre in self.data_centres_out - out:
             self._apply_change(DataCentreChanged(data_centre, False))
         self._apply_all(snapshot.revision, snapshot.changes)
-        self._record_sync(age_s)
+        self._record_sync(snapshot.age_s)
         self.change_log.reset(snapshot.revision)
 
     def start_grace_period(self, outage_s: float) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -390,6 +390,7 @@
             own.apply(1, [ConfigurationChanged(make_configuration(1))])
             reader = PeerReader(members, own)
             reader._relays = tuple(relays)
+            self.reader = reader
             tasks = [asyncio.create_task(reader.follow_relay(n)) for n in RELAY_INDEXES]
             try:
                 await act(own, list(relays.values()))
@@ -474,6 +475,19 @@
 
         self.run_with_relays(act)
 
+    def test_view_fetched_from_a_peer_keeps_its_age_and_grace_period(self):
+        async def act(own, relays):
+            for view in relays:
+                view.extend_grace_period(2.0)
+                view.apply(1, [ConfigurationChanged(make_configuration(1))], 40.0)
+            found = await self.reader.fetch_newer(0)
+            fresh = make_view()
+            fresh.replace(found)
+            assert fresh.age_s == pytest.approx(40.0, abs=2.0)
+            assert fresh.grace_left_s == pytest.approx(2.0, abs=1.0)
+
+        self.run_with_relays(act)
+
     def test_grace_period_of_the_relay_is_taken_over(self):
         entry = ReplicaEntry("i-1", "records", "10.0.0.9:80", "vaxjo", 3)
 
