Probe unresponsive replicas of a shard besides the replica that answers

Cause: a replica that fell silent was probed only if no other one of its service was usable. Change: a query is also sent to at most two unresponsive replicas that were not probed for 1.5 s, within the retry budget and the attempts of the shard; the shard's answer comes from the other replica.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -19,6 +19,7 @@
 )
 from ..upstreams.budget import RetryBudget
 from ..upstreams.choice import choose_probe_target, choose_replica
+from ..upstreams.health import EXTRA_PROBE_INTERVAL_S
 from ..upstreams.latency import RouteLatencies
 from ..upstreams.registry import ReplicaRegistry
 from ..upstreams.replica import Exchange, Replica
@@ -73,13 +74,7 @@
         tried : list of str
             Instances that must not be chosen again.
         """
-        candidates = self.replicas.list_for_service(service, self.view.data_centres_out)
-        if route.regions:
-            candidates = [
-                replica
-                for replica in candidates
-                if self._is_in_region(replica, route.regions)
-            ]
+        candidates = self._list_candidates(route, service)
         now = self.now()
         chosen = choose_replica(
             candidates, self.data_centre, now, self.random, tried, route.repeatable
@@ -129,6 +124,31 @@
         matches = make_response_matcher(call)
         return replica.send(data, matches, typical_s, new_connection, finish)
 
+    def choose_extra_probe(
+        self, route: Route, service: str, tried: list[str]
+    ) -> Replica | None:
+        """Choose an unresponsive replica to send a request to besides another one.
+
+        Without such probes, a replica that has recovered would stay unused until no
+        other one of its service is usable.
+        """
+        return choose_probe_target(
+            self._list_candidates(route, service),
+            self.now(),
+            tried,
+            EXTRA_PROBE_INTERVAL_S,
+        )
+
+    def _list_candidates(self, route: Route, service: str) -> list[Replica]:
+        candidates = self.replicas.list_for_service(service, self.view.data_centres_out)
+        if not route.regions:
+            return candidates
+        return [
+            replica
+            for replica in candidates
+            if self._is_in_region(replica, route.regions)
+        ]
+
     def _is_in_region(self, replica: Replica, regions: tuple[str, ...]) -> bool:
         return self.region_by_data_centre.get(replica.entry.data_centre) in regions
 
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -21,6 +21,7 @@
 from .timing import SECOND_HEDGE_FACTOR
 
 MAX_SENDS_PER_SHARD = 6  # including sends that replicas rejected
+MAX_EXTRA_PROBES = 2  # unresponsive replicas that one query is also sent to
 RETRY_BACKOFF_S = 0.015  # before the third send to a shard; doubles with each send
 
 
@@ -100,6 +101,7 @@
                     self._abandon_shard(shard)
                 else:
                     self._send(shard, replica)
+            self._send_extra_probes()
             return await self._result
         except asyncio.CancelledError:
             self._report_outcome("cancelled", "caller disconnected")
@@ -237,6 +239,22 @@
         schedule_at(schedule.partial_answer_at, self._finish_if_enough)
         schedule_at(schedule.end_at, self._finish)
 
+    def _send_extra_probes(self) -> None:
+        """Send the query to some unresponsive replicas too, to see whether they answer.
+
+        The shard has been sent to another replica, so no query waits for a probe.
+        """
+        probes = 0
+        for shard in self._shards:
+            if probes == MAX_EXTRA_PROBES:
+                return
+            if len(shard.pending) != 1 or not self._may_send(shard):
+                continue
+            replica = self._context.choose_extra_probe(
+                self._route, shard.service, shard.tried
+            )
+            probes += self._send_within_budget(shard, replica, exempt=False)
+
     def _send_hedges(self) -> None:
         """Hedge the unanswered shards that wait for exactly one replica."""
         for shard in self._shards:
--- a/src/anvilhoist/upstreams/choice.py
+++ b/src/anvilhoist/upstreams/choice.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 from random import Random
 
-from .health import Health
+from .health import PROBE_INTERVAL_S, Health
 from .replica import Replica
 
 CROSS_DATA_CENTRE_COST = 0.6  # added cost, in typical durations of a request
@@ -99,14 +99,28 @@
 
 
 def choose_probe_target(
-    replicas: Iterable[Replica], now: float, tried: Sequence[str] = ()
+    replicas: Iterable[Replica],
+    now: float,
+    tried: Sequence[str] = (),
+    interval_s: float = PROBE_INTERVAL_S,
 ) -> Replica | None:
     """Choose the first unresponsive replica that is due for a probe, or None.
 
     A probe is an ordinary request; an answer shows that the replica is back.
+
+    Parameters
+    ----------
+    replicas : iterable of Replica
+        Replicas of one service.
+    now : float
+        Time in seconds.
+    tried : sequence of str
+        Instances that must not be chosen again.
+    interval_s : float
+        Shortest time between two probes of a replica, in seconds.
     """
     for replica in replicas:
-        if replica.entry.instance in tried or not replica.can_probe(now):
+        if replica.entry.instance in tried or not replica.can_probe(now, interval_s):
             continue
         return replica
     return None
--- a/src/anvilhoist/upstreams/health.py
+++ b/src/anvilhoist/upstreams/health.py
@@ -14,7 +14,10 @@
 # A replica is unresponsive after a silence that is longer than both limits.
 UNRESPONSIVE_RATIO = 8.0  # in typical durations
 MIN_UNRESPONSIVE_S = 0.35
-PROBE_INTERVAL_S = 0.3  # shortest time between two probes of an unresponsive replica
+# Shortest time between two probes of an unresponsive replica: if the probe is the only
+# send of a request, and if it is sent besides one to another replica.
+PROBE_INTERVAL_S = 0.3
+EXTRA_PROBE_INTERVAL_S = 1.5
 
 
 @dataclass(slots=True)
@@ -168,9 +171,9 @@
         self.unresponsive = silent_s > limit_s
         return self.unresponsive
 
-    def is_probe_due(self, now: float) -> bool:
-        """Return whether enough time has passed since the last probe."""
-        return now - self.probed_at > PROBE_INTERVAL_S
+    def is_probe_due(self, now: float, interval_s: float = PROBE_INTERVAL_S) -> bool:
+        """Return whether at least an interval has passed since the last probe."""
+        return now - self.probed_at > interval_s
 
     def _update_slowness(self, relative_duration: float, now: float) -> None:
         current = self.estimate_slowness(now)
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -10,7 +10,7 @@
 from ..http.connect import open_connection
 from ..http.exchange import Outcome, Reply, ResponseMatcher, ServerConnection
 from ..world.model import ReplicaEntry
-from .health import Health
+from .health import PROBE_INTERVAL_S, Health
 from .warmup import WarmupLimiter
 
 CONNECT_TIMEOUT_S = 0.8  # below the server's own limit of 1 s for a new connection
@@ -103,12 +103,15 @@
             and self._has_connection_capacity()
         )
 
-    def can_probe(self, now: float) -> bool:
-        """Return whether it is unresponsive and may get a probe now."""
+    def can_probe(self, now: float, interval_s: float = PROBE_INTERVAL_S) -> bool:
+        """Return whether it is unresponsive and may get a probe now.
+
+        `interval_s` is the shortest time between two probes, in seconds.
+        """
         return (
             self.accepts_requests
             and self.health.is_unresponsive(now)
-            and self.health.is_probe_due(now)
+            and self.health.is_probe_due(now, interval_s)
             and self.warmup_limiter.admits(now)
             and self._has_connection_capacity()
         )
