Answer what was accepted just before the end of a graceful shutdown

Cause: when the listener closed, connections that the kernel had established but that were not yet accepted were reset, with the requests that their callers had sent; a connection on which a request was still arriving did not count, so the process could exit under it; at the latest exit, requests in flight were cut off without an answer. Change: the last established connections are accepted and served; connections that read a request count until the latest exit; what is left then is answered with 504 if it may have run and 503 if it has not, and logged as requests_abandoned.

--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -44,7 +44,7 @@
 from .reload import SettingsReloader
 from .report import answer_operators, log_summary, register_gauges
 from .settings import Bounds, FrontSettings
-from .stopping import plan_shutdown
+from .stopping import ShutdownPlan, plan_shutdown
 
 if TYPE_CHECKING:
     from ..searches.serve import SearchServer
@@ -54,6 +54,7 @@
 ADDRESS_KEEP_S = 1.0
 LOG_FLUSH_INTERVAL_S = 0.2
 SETTINGS_CHECK_INTERVAL_S = 2.0  # the settings file may change without a SIGHUP
+STOP_CHECK_INTERVAL_S = 0.05  # between two checks of a graceful shutdown
 SUMMARY_INTERVAL_S = 5.0  # between log summaries, and evictions of expired tickets
 
 
@@ -119,10 +120,16 @@
     @property
     def requests_in_flight(self) -> int:
         """Requests that have been read and are not yet answered."""
-        searches = (
-            self._api_server.requests_in_flight if self._api_server is not None else 0
-        )
-        return self.caller_server.requests_in_flight + searches
+        return self.caller_server.requests_in_flight + self._searches_in_flight
+
+    @property
+    def unfinished_requests(self) -> int:
+        """Connections and searches with requests being read or not yet answered."""
+        return self.caller_server.busy_connections + self._searches_in_flight
+
+    @property
+    def _searches_in_flight(self) -> int:
+        return self._api_server.requests_in_flight if self._api_server else 0
 
     async def start(self) -> list[asyncio.Task]:
         """Start to listen, to follow the store and to run the timers.
@@ -184,18 +191,25 @@
         plan = plan_shutdown(
             read_boottime(), self.settings.bounds.stop_s, ADDRESS_KEEP_S
         )
-        while not plan.may_exit(read_boottime(), self.requests_in_flight):
-            await asyncio.sleep(0.05)
-            if plan.should_close_idle(read_boottime()):
-                self.caller_server.close_idle()
-            if plan.should_stop_listening(read_boottime()):
-                self.caller_server.stop_listening()
+        await self._serve_until_exit(plan)
         self.caller_server.stop_listening()
+        # Requests that were accepted last are still answered.
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+        await self._serve_until_exit(plan)
         self.caller_server.close_idle()
+        self.caller_server.abandon_requests()
         if self._api_server is not None:
             await self._api_server.close()
         self._heartbeat_endpoint.send()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+
+    async def _serve_until_exit(self, plan: ShutdownPlan) -> None:
+        while not plan.may_exit(read_boottime(), self.unfinished_requests):
+            await asyncio.sleep(STOP_CHECK_INTERVAL_S)
+            if plan.should_close_idle(read_boottime()):
+                self.caller_server.close_idle()
+            if plan.should_stop_listening(read_boottime()):
+                self.caller_server.stop_listening()
 
     def _subscribe_timers(self) -> None:
         timers = self.timers
--- a/src/anvilhoist/http/caller_connection.py
+++ b/src/anvilhoist/http/caller_connection.py
@@ -73,6 +73,15 @@
         """Number of requests that have been read and are not yet answered."""
         return len(self._queue) + self._is_handling
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read or in flight."""
+        if self._is_closing:
+            return False
+        return bool(
+            self.requests_in_flight or self._is_reading_head or self._is_head_complete
+        )
+
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Start the connection's task."""
         self._transport = transport
@@ -177,14 +186,31 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or in flight."""
-        if (
-            self.requests_in_flight
-            or self._is_reading_head
-            or self._is_head_complete
-            or self._is_closing
-        ):
+        if not (self.is_busy or self._is_closing):
+            self._transport.close()
+
+    def abandon_requests(self) -> None:
+        """Answer the requests in flight at once and close the connection.
+
+        The one that is being handled may have run (status 504); those that wait behind
+        it have not (503).
+        """
+        if self._is_closing or not self.requests_in_flight:
             return
-        self._transport.close()
+        if self._task is not None:
+            self._task.cancel()
+        statuses = [504] * self._is_handling
+        statuses += [
+            item.status if isinstance(item, Response) else 503 for item in self._queue
+        ]
+        self._queue.clear()
+        self._is_handling = False
+        for status in statuses[:-1]:
+            self._transport.write(encode_response(Response(status), close=False))
+        structlog.get_logger().warning(
+            "requests_abandoned", server=self._server.name, statuses=statuses
+        )
+        self._send_last_response(Response(statuses[-1]))
 
     def enforce_timeouts(self, now: float, limits: ConnectionLimits) -> None:
         """Refuse a request that arrives too slowly; close an idle connection.
--- a/src/anvilhoist/http/server.py
+++ b/src/anvilhoist/http/server.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from ..tasks import start_task
 from .caller_connection import CallerConnection
 from .limits import ConnectionLimits
 from .messages import Request, Response
@@ -43,23 +45,30 @@
     connections: set[CallerConnection] = field(default_factory=set)
     draining: bool = False
     _listener: asyncio.Server | None = None
+    _socket: socket.socket | None = None  # the listener's, which closes its own copy
 
     @property
     def requests_in_flight(self) -> int:
         """Number of requests that have been read and are not yet answered."""
         return sum(connection.requests_in_flight for connection in self.connections)
 
+    @property
+    def busy_connections(self) -> int:
+        """Number of connections on which a request is being read or in flight."""
+        return sum(connection.is_busy for connection in self.connections)
+
     async def listen(self, address: str) -> None:
         """Start to accept connections on `address`, an IP address and a port."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            lambda: CallerConnection(self),
+            self._make_connection,
             host,
             int(port),
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
+        self._socket = self._listener.sockets[0].dup()
 
     def drain(self) -> None:
         """Close each connection with its next response; idle ones stay open."""
@@ -71,12 +80,38 @@
             connection.close_if_idle()
 
     def stop_listening(self) -> None:
-        """Accept no more connections."""
-        if self._listener is not None:
-            self._listener.close()
+        """Accept no more connections than those that are already established."""
+        if self._listener is None:
+            return
+        self._listener.close()
+        self._listener = None
+        self._accept_established()
+        self._socket.close()
+
+    def abandon_requests(self) -> None:
+        """Answer all requests in flight at once, as the process is about to exit."""
+        for connection in list(self.connections):
+            connection.abandon_requests()
 
     def enforce_timeouts(self, now: float) -> None:
         """Refuse requests that stopped arriving, and close idle connections."""
         limits = self.read_limits()
         for connection in list(self.connections):
             connection.enforce_timeouts(now, limits)
+
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(self)
+
+    def _accept_established(self) -> None:
+        # The kernel would reset the connections that it has established but that were
+        # not accepted yet. Their callers may have sent requests.
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                accepted, _ = self._socket.accept()
+            except OSError:
+                return
+            accepted.setblocking(False)
+            start_task(
+                "accept", loop.connect_accepted_socket(self._make_connection, accepted)
+            )
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from anvilhoist.clock import read_boottime
@@ -75,9 +76,9 @@
         async def scenario(reader, writer):
             second = REQUEST % 2
             writer.write(REQUEST % 1 + second[:10])
-            await reader.readuntil(b"/1")
+            await reader.readuntil(b"\r\n\r\n/1")
             writer.write(second[10:])
-            assert b"200 OK" in await reader.readuntil(b"/2")
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n/2")
 
         CallerSite(handling_s=1.5 * LIMITS.header_s).run(scenario)
 
@@ -131,7 +132,7 @@
             writer.write(EXPECT_HEAD % (2, b""))
             assert b"100 Continue" in await reader.readuntil(b"\r\n\r\n")
             writer.write(b"ab")
-            assert b"200 OK" in await reader.readuntil(b"/2")
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n/2")
 
         CallerSite().run(scenario)
 
@@ -141,7 +142,7 @@
             received = await reader.readuntil(b"100 Continue\r\n\r\n")
             assert received.startswith(b"HTTP/1.1 200 OK")
             writer.write(b"ab")
-            assert b"200 OK" in await reader.readuntil(b"/2")
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n/2")
 
         CallerSite(handling_s=CHECK_S).run(scenario)
 
@@ -158,3 +159,54 @@
             assert (await reader.read()).startswith(b"HTTP/1.1 413")
 
         CallerSite().run(scenario)
+
+
+class TestStopping:
+    """A caller whose request was just accepted gets a response."""
+
+    def test_request_that_waits_to_be_accepted_is_answered(self):
+        async def scenario(reader, writer):
+            port = writer.get_extra_info("peername")[1]
+            # The event loop accepts nothing in the meantime.
+            callers = [socket.create_connection(("127.0.0.1", port)) for _ in range(3)]
+            for caller in callers:
+                caller.sendall(REQUEST % 1)
+            site.server.drain()
+            site.server.stop_listening()
+            loop = asyncio.get_running_loop()
+            for caller in callers:
+                caller.setblocking(False)
+                received = await asyncio.wait_for(loop.sock_recv(caller, 4096), 2.0)
+                assert received.startswith(b"HTTP/1.1 200")
+                caller.close()
+
+        site = CallerSite()
+        site.run(scenario)
+
+    def test_connection_on_which_a_request_arrives_is_busy(self):
+        async def scenario(reader, writer):
+            assert site.server.busy_connections == 0
+            writer.write((REQUEST % 1)[:9])
+            await asyncio.sleep(CHECK_S)
+            assert site.server.busy_connections == 1
+            writer.write((REQUEST % 1)[9:])
+            assert b"200 OK" in await reader.readuntil(b"\r\n\r\n/1")
+            await asyncio.sleep(CHECK_S)
+            assert site.server.busy_connections == 0
+
+        site = CallerSite()
+        site.run(scenario)
+
+    def test_requests_that_do_not_end_in_time_are_answered(self):
+        async def scenario(reader, writer):
+            writer.write(REQUEST % 1 + REQUEST % 2)
+            await asyncio.sleep(CHECK_S)
+            site.server.abandon_requests()
+            received = await reader.read()
+            # The first may have run, the second has not.
+            assert received.startswith(b"HTTP/1.1 504")
+            assert received.count(b"HTTP/1.1 503") == 1
+
+        site = CallerSite(handling_s=5.0)
+        site.run(scenario)
+        assert site.handled == [b"/1"]
