Let no retry wait for an extra probe

Cause: the probe of an unresponsive replica counted as a pending send of its shard, so that a rejection by the other replica was not retried and the shard not hedged while the probe had no outcome. Change: a probe is kept apart from the sends that retries and hedges look at; the state of a shard has a module of its own.

Result: the new case fails without this change (a shard was missing).

--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import structlog
 
@@ -18,43 +18,14 @@
 from .plan import plan_call
 from .refusal import refuse
 from .result import GatherResult, Refusal
+from .shard import ShardState
 from .timing import SECOND_HEDGE_FACTOR
 
 MAX_SENDS_PER_SHARD = 6  # including sends that replicas rejected
 MAX_EXTRA_PROBES = 2  # unresponsive replicas that one query is also sent to
 RETRY_BACKOFF_S = 0.015  # before the third send to a shard; doubles with each send
 
-
-@dataclass(slots=True)
-class ShardState:
-    """Progress of a query at one shard.
-
-    Attributes
-    ----------
-    service : str
-        Service that holds the shard.
-    attempts : int
-        Sends that were or may have been executed.
-    sends : int
-        All sends.
-    tried : list of str
-        Instances that the query was sent to.
-    pending : dict
-        Exchanges without an outcome yet, and their replicas.
-    digest, body : bytes
-        Digest and body of the shard's part; the digest is None until it is received.
-    abandoned : bool
-        Whether nothing more is sent to the shard and its part is not awaited.
-    """
-
-    service: str
-    attempts: int = 0
-    sends: int = 0
-    tried: list[str] = field(default_factory=list)
-    pending: dict[Exchange, Replica] = field(default_factory=dict)
-    digest: bytes | None = None
-    body: bytes = b""
-    abandoned: bool = False
+OnOutcome = Callable[[Exchange, Outcome, Verdict], None]
 
 
 class GatherRun:
@@ -115,15 +86,27 @@
         return self._context.choose_replica(self._route, shard.service, shard.tried)
 
     def _send(self, shard: ShardState, replica: Replica) -> None:
-        shard.sends += 1
-        shard.attempts += 1
-        shard.tried.append(replica.entry.instance)
-
         def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
             shard.pending.pop(exchange, None)
             self._on_outcome(shard, exchange, outcome, verdict)
 
-        exchange = self._context.send(
+        shard.pending[self._start_exchange(shard, replica, on_outcome)] = replica
+
+    def _send_probe(self, shard: ShardState, replica: Replica) -> None:
+        def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
+            shard.probe = None
+            if verdict is Verdict.SUCCEEDED and not shard.abandoned:
+                self._on_outcome(shard, exchange, outcome, verdict)
+
+        shard.probe = self._start_exchange(shard, replica, on_outcome)
+
+    def _start_exchange(
+        self, shard: ShardState, replica: Replica, on_outcome: OnOutcome
+    ) -> Exchange:
+        shard.sends += 1
+        shard.attempts += 1
+        shard.tried.append(replica.entry.instance)
+        return self._context.send(
             replica,
             self._call,
             self._plan.headers,
@@ -131,7 +114,6 @@
             self._plan.latency.median_s,
             on_outcome,
         )
-        shard.pending[exchange] = replica
 
     def _on_outcome(
         self, shard: ShardState, exchange: Exchange, outcome: Outcome, verdict: Verdict
@@ -191,12 +173,14 @@
         # a replica, because the retry is then no extra arrival.
         if replica is None:
             return False
-        budget = self._context.budget
-        if not exempt and not budget.try_spend(shard.service, self._context.now()):
+        if not exempt and not self._try_spend(shard):
             return False
         self._send(shard, replica)
         return True
 
+    def _try_spend(self, shard: ShardState) -> bool:
+        return self._context.budget.try_spend(shard.service, self._context.now())
+
     def _choose_any(self, shard: ShardState) -> Replica | None:
         # No untried replica is usable; one that rejected the query may accept it now.
         return self._context.choose_replica(self._route, shard.service, [])
@@ -253,7 +237,9 @@
             replica = self._context.choose_extra_probe(
                 self._route, shard.service, shard.tried
             )
-            probes += self._send_within_budget(shard, replica, exempt=False)
+            if replica and self._try_spend(shard):
+                self._send_probe(shard, replica)
+                probes += 1
 
     def _send_hedges(self) -> None:
         """Hedge the unanswered shards that wait for exactly one replica."""
@@ -298,6 +284,8 @@
             for exchange in list(shard.pending):
                 exchange.cancel()
             shard.pending.clear()
+            if shard.probe is not None:
+                shard.probe.cancel()
 
     def _report_outcome(self, outcome: str, why: str) -> None:
         context = self._context
--- /dev/null
+++ b/src/anvilhoist/forward/shard.py
@@ -0,0 +1,43 @@
+"""State of a query at one of its shards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from ..upstreams.replica import Exchange, Replica
+
+
+@dataclass(slots=True)
+class ShardState:
+    """Progress of a query at one shard.
+
+    Attributes
+    ----------
+    service : str
+        Service that holds the shard.
+    attempts : int
+        Sends that were or may have been executed.
+    sends : int
+        All sends.
+    tried : list of str
+        Instances that the query was sent to.
+    pending : dict
+        Exchanges without an outcome yet, and their replicas.
+    probe : Exchange or None
+        Extra probe of an unresponsive replica without an outcome yet; nothing waits for
+        it.
+    digest, body : bytes
+        Digest and body of the shard's part; the digest is None until it is received.
+    abandoned : bool
+        Whether nothing more is sent to the shard and its part is not awaited.
+    """
+
+    service: str
+    attempts: int = 0
+    sends: int = 0
+    tried: list[str] = field(default_factory=list)
+    pending: dict[Exchange, Replica] = field(default_factory=dict)
+    probe: Exchange | None = None
+    digest: bytes | None = None
+    body: bytes = b""
+    abandoned: bool = False
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -42,11 +42,14 @@
     ----------
     dark : set of str
         Instances that don't answer.
+    rejecting : set of str
+        Instances that reject the next request without executing it.
     sent : list of str
         Instances that something was sent to, in order.
     """
 
     dark: set[str] = field(default_factory=set)
+    rejecting: set[str] = field(default_factory=set)
     sent: list[str] = field(default_factory=list)
 
     def send(
@@ -63,10 +66,12 @@
         def finish() -> None:
             replica.health.finish_request(key, self.now(), True, False)
             exchange.done = True
-            reply = Reply(
-                200, [(b"x-response-signature", instance.encode())], b"r" * 16
-            )
-            on_outcome(exchange, reply, Verdict.SUCCEEDED)
+            if instance in self.rejecting:
+                self.rejecting.remove(instance)
+                on_outcome(exchange, Reply(503, [], b""), Verdict.NOT_EXECUTED)
+                return
+            headers = [(b"x-response-signature", instance.encode())]
+            on_outcome(exchange, Reply(200, headers, b"r" * 16), Verdict.SUCCEEDED)
 
         def give_up() -> None:
             timer.cancel()
@@ -148,6 +153,17 @@
         sent = self.play({"shard-3a"}, 12)
         assert 1 <= len(sent) <= 12 * 0.5 / EXTRA_PROBE_INTERVAL_S + 1
 
+    def test_rejection_is_retried_although_a_probe_is_pending(self):
+        async def run():
+            site = GatherSite({"shard-3a"})
+            site.context.replicas.by_instance["shard-3a"].health.unresponsive = True
+            site.context.rejecting = {"shard-3b"}
+            result = await site.query()
+            assert not result.missing
+            assert site.context.sent.count("shard-3b") == 2
+
+        asyncio.run(run())
+
 
 class TestNoReplica:
     def test_query_is_refused_at_once_if_too_few_shards_have_a_replica(self):
