Send responses whole at a shutdown, answer requests read before it; bound empty steps

Cause: a connection whose response waited in the process for a slow caller counted as idle, so that the process could exit and truncate it; requests that had been read behind the one in progress were dropped when a drain began; the log of changes kept a step for each revision without changes, without bound. Change: unsent bytes make a connection busy; a draining connection closes with the last response that it owes; consecutive steps without changes are one.

--- a/src/anvilhoist/http/caller_connection.py
+++ b/src/anvilhoist/http/caller_connection.py
@@ -75,7 +75,9 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being read or in flight."""
+        """Whether a request is being read or in flight, or a response is unsent."""
+        if self._transport.get_write_buffer_size():
+            return True
         if self._is_closing:
             return False
         return bool(
@@ -246,7 +248,9 @@
             self._last_active_at = self._head_due_from = read_boottime()
             if self._input_ended and not self._queue:
                 return self._send_last_response(response)
-            if self._server.draining or not item.keep_alive:
+            # Requests that were read before the drain are still answered.
+            is_last = self._server.draining and not self._queue
+            if is_last or not item.keep_alive:
                 return self._send_last_response(response)
             self._transport.write(encode_response(response, close=False))
             if self._writable is not None:
--- a/src/anvilhoist/world/changes.py
+++ b/src/anvilhoist/world/changes.py
@@ -40,6 +40,7 @@
         Waiting tasks are woken even if the revision is not newer.
         """
         if revision > self.revision:
+            self._drop_empty_step()
             self._steps.append(_RevisionStep(self.revision, revision, tuple(changes)))
             self._change_count += len(changes)
             self.revision = revision
@@ -82,6 +83,12 @@
         finally:
             self._waiters.discard(synced)
 
+    def _drop_empty_step(self) -> None:
+        # The next step begins where the last one with changes ended, so that steps
+        # without changes take no room.
+        if self._steps and not self._steps[-1].changes:
+            self.revision = self._steps.pop().from_revision
+
     def _wake_waiters(self) -> None:
         for synced in self._waiters:
             if not synced.done():
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -197,6 +197,31 @@
         site = CallerSite()
         site.run(scenario)
 
+    def test_requests_that_were_read_before_the_drain_are_answered(self):
+        async def scenario(reader, writer):
+            writer.write(REQUEST % 1 + REQUEST % 2)
+            await asyncio.sleep(CHECK_S)
+            site.server.drain()
+            received = await reader.read()
+            assert received.count(b"200 OK") == 2
+            assert received.count(b"Connection: close") == 1
+
+        site = CallerSite(handling_s=2 * CHECK_S)
+        site.run(scenario)
+
+    def test_connection_with_an_unsent_response_is_busy(self):
+        async def scenario(reader, writer):
+            site.server.drain()
+            writer.write(REQUEST % 1)
+            await asyncio.sleep(2 * CHECK_S)
+            assert site.server.busy_connections == 1
+            received = await reader.read()
+            assert len(received) > BODY_BYTES
+            assert site.server.busy_connections == 0
+
+        site = CallerSite(b"x" * 20 * BODY_BYTES)
+        site.run(scenario)
+
     def test_requests_that_do_not_end_in_time_are_answered(self):
         async def scenario(reader, writer):
             writer.write(REQUEST % 1 + REQUEST % 2)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -352,6 +352,17 @@
         log.add(5, [ReplicaRemoved("a")])
         assert log.list_since(0) == [ReplicaRemoved("a")]
 
+    def test_revisions_without_changes_take_no_room(self):
+        log = ChangeLog()
+        log.add(1, [DataCentreChanged("vaxjo", True)])
+        for revision in range(2, 1000):
+            log.add(revision, [])
+        log.add(1000, [DataCentreChanged("vaxjo", False)])
+        assert len(log._steps) <= 3
+        assert log.list_since(1) == [DataCentreChanged("vaxjo", False)]
+        assert log.list_since(500) == [DataCentreChanged("vaxjo", False)]
+        assert len(log.list_since(0)) == 2
+
     def test_keeps_a_bounded_number_of_changes(self):
         log = ChangeLog()
         for number in range(1, MAX_KEPT_CHANGES + 50):
