Send no retry to a shard whose probe has answered

Cause: an extra probe may answer while a retry of its shard waits for its back-off; the retry was sent all the same, and one that could not be sent counted the shard twice. A probe that no replica executed still used an attempt.

Result: the new case fails without the change (two sends to the replica instead of one).

--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -95,7 +95,9 @@
     def _send_probe(self, shard: ShardState, replica: Replica) -> None:
         def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
             shard.probe = None
-            if verdict is Verdict.SUCCEEDED and not shard.abandoned:
+            if verdict is not Verdict.SUCCEEDED:
+                self._uncount_unexecuted(shard, outcome, verdict)
+            elif not shard.abandoned:
                 self._on_outcome(shard, exchange, outcome, verdict)
 
         shard.probe = self._start_exchange(shard, replica, on_outcome)
@@ -131,12 +133,20 @@
             self._answered_count += 1
             self._resolve_shard(shard)
             return
+        unsent = self._uncount_unexecuted(shard, outcome, verdict)
+        self._schedule_retry(shard, now, unsent)
+
+    @staticmethod
+    def _uncount_unexecuted(
+        shard: ShardState, outcome: Outcome, verdict: Verdict
+    ) -> bool:
+        """Take back an attempt that no replica executed; return if none was reached."""
         unsent = (
             isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECT_FAILED
         )
         if unsent or verdict in NOT_EXECUTED_VERDICTS:
             shard.attempts -= 1
-        self._schedule_retry(shard, now, unsent)
+        return unsent
 
     def _is_new_digest(self, digest: bytes) -> bool:
         """Return whether no part with this digest has been received yet."""
@@ -157,7 +167,7 @@
 
     def _send_retry(self, shard: ShardState, unsent: bool) -> None:
         now = self._context.now()
-        if self._result.done() or shard.abandoned:
+        if self._result.done() or shard.abandoned or shard.digest is not None:
             return
         if self._may_send(shard) and now < self._schedule.end_at:
             replica = self._choose_untried(shard) or self._choose_any(shard)
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -164,6 +164,17 @@
 
         asyncio.run(run())
 
+    def test_no_retry_is_sent_once_the_probe_has_answered(self):
+        async def run():
+            site = GatherSite({"shard-5a", "shard-5b"})
+            site.context.replicas.by_instance["shard-3a"].health.unresponsive = True
+            site.context.rejecting = {"shard-3b"}
+            result = await site.query()
+            assert result.missing == ("shard-5",)
+            assert site.context.sent.count("shard-3b") == 1
+
+        asyncio.run(run())
+
 
 class TestNoReplica:
     def test_query_is_refused_at_once_if_too_few_shards_have_a_replica(self):
