--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test experiment soak clean
+.PHONY: setup run test experiment soak fuzz clean
 
 setup: $(VENV)/.ready
 
@@ -26,5 +26,8 @@
 soak: setup
 	$(BIN)/python -m anvilhoist.site.soak --seed $(or $(SEED),1) --count $(or $(COUNT),50)
 
+fuzz: setup
+	HYPOTHESIS_PROFILE=fresh $(BIN)/python -m pytest -k any tests/test_malformed.py
+
 clean:
 	rm -rf $(VENV) reports
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,7 +7,8 @@
 from hypothesis import settings
 
 settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
-settings.load_profile("fixed")
+settings.register_profile("fresh", max_examples=5000, deadline=None, database=None)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "fixed"))
 os.environ["UV_USE_IO_URING"] = "0"
 
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
