Look for replicas to probe only where there are any

Cause: each query looked at all replicas of all shards for one to probe: 0.317 ms a query over 129 shards, nearly always for nothing. Change: the registry names the services with unresponsive replicas, as of its last maintenance, and a query looks only there. Result: 0.002 ms a query where there are none; tests/test_gather.py passes unchanged but for the maintenance that it now plays.

--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -238,10 +238,13 @@
 
         The shard has been sent to another replica, so no query waits for a probe.
         """
+        services = self._context.replicas.unresponsive_services
         probes = 0
-        for shard in self._shards:
+        for shard in self._shards if services else ():
             if probes == MAX_EXTRA_PROBES:
                 return
+            if shard.service not in services:
+                continue
             if len(shard.pending) != 1 or not self._may_send(shard):
                 continue
             replica = self._context.choose_extra_probe(
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -14,13 +14,14 @@
 from .warmup import WarmupLimiter
 
 SLOW_RATIO = 3.0  # multiple of the typical duration above which a replica is slow
+UNRESPONSIVE_CLASS = "dark"  # health class of unresponsive replicas
 FAILING_RATE = 0.3  # share of failed requests above which a replica is failing
 
 
 def classify_health(health: Health, now: float) -> str:
     """Return the health class of a replica, as logs and metrics name it."""
     if health.is_unresponsive(now):
-        return "dark"
+        return UNRESPONSIVE_CLASS
     if health.estimate_failure_rate(now) > FAILING_RATE:
         return "failing"
     if max(health.estimate_slowness(now), health.estimate_stall(now)) > SLOW_RATIO:
@@ -49,6 +50,7 @@
     count_vms: Callable[[], int]
     is_sender: Callable[[str], bool]
     by_instance: dict[str, Replica] = field(default_factory=dict)
+    unresponsive_services: set[str] = field(default_factory=set)
     _health_classes: dict[str, str] = field(default_factory=dict)
     _by_service: dict[str, list[Replica]] = field(
         default_factory=lambda: defaultdict(list)
@@ -90,10 +92,16 @@
         ]
 
     def maintain(self, now: float) -> None:
-        """Close connections that were idle too long; log changed health classes."""
+        """Close connections that were idle too long; log changed health classes.
+
+        `unresponsive_services` then names the services with unresponsive replicas.
+        """
+        self.unresponsive_services.clear()
         for instance, replica in self.by_instance.items():
             replica.close_stale_connections(now)
             health_class = classify_health(replica.health, now)
+            if health_class == UNRESPONSIVE_CLASS:
+                self.unresponsive_services.add(replica.entry.service)
             if health_class != self._health_classes.get(instance, "sound"):
                 self._health_classes[instance] = health_class
                 _log_health_change(replica, health_class, now)
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -120,6 +120,7 @@
 
     async def query(self):
         now = self.now()
+        self.context.replicas.maintain(now)
         request = Request(b"GET", b"/", [], arrived_at=now)
         call = Call(request, b"id", "h", now + 2.0)
         return await GatherRun(self.context, call, ROUTE, GATHER).run()
