Log and count the rate limits that replicas name

What on-call engineers saw: nothing. No log line or metric told that a replica had named a limit, so the hypotheses about the excess could not be told apart.

Change: the limit is parsed in platform/, kept with the replica, and logged when it is learned, changed by more than a tenth, or withdrawn (replica_limit); the metrics give the limit and this VM's sends by replica. Where requests go is unchanged. Only a decimal number is a limit; other values are counted and leave the known limit. A rejection without a limit does not withdraw it.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -15,6 +16,7 @@
     classify_reply,
     encode_replica_request,
     make_response_matcher,
+    parse_rate_limit,
     parse_server_load,
 )
 from ..upstreams.budget import RetryBudget
@@ -118,7 +120,7 @@
             verdict = Verdict.UNUSABLE
             if isinstance(outcome, Reply):
                 verdict = classify_reply(outcome, call)
-                self._record_reply(replica, outcome, verdict)
+                self._record_reply(replica, exchange, outcome, verdict)
             on_outcome(exchange, outcome, verdict)
 
         matches = make_response_matcher(call)
@@ -152,7 +154,9 @@
     def _is_in_region(self, replica: Replica, regions: tuple[str, ...]) -> bool:
         return self.region_by_data_centre.get(replica.entry.data_centre) in regions
 
-    def _record_reply(self, replica: Replica, reply: Reply, verdict: Verdict) -> None:
+    def _record_reply(
+        self, replica: Replica, exchange: Exchange, reply: Reply, verdict: Verdict
+    ) -> None:
         instance = replica.entry.instance
         load = parse_server_load(reply.headers)
         if load is not None:
@@ -162,5 +166,20 @@
             structlog.get_logger().info(
                 "replica_gone", replica=instance, why="another instance has its address"
             )
+        else:
+            self._record_limit(replica, exchange, reply, verdict)
         if verdict in NOT_EXECUTED_VERDICTS:
             self.metrics.increment("replica_rejected")
+
+    def _record_limit(
+        self, replica: Replica, exchange: Exchange, reply: Reply, verdict: Verdict
+    ) -> None:
+        limit = parse_rate_limit(reply.headers)
+        if limit is None:
+            self.metrics.increment("replica_limit_invalid")
+            return
+        # Only a response of the service itself withdraws a limit by naming none.
+        if limit == math.inf and verdict not in (Verdict.SUCCEEDED, Verdict.FAILED):
+            return
+        replica.quota.record_answer(limit, exchange.sent_at, self.now())
+        self.replicas.log_limit_change(replica, "response")
--- a/src/anvilhoist/front/report.py
+++ b/src/anvilhoist/front/report.py
@@ -96,6 +96,7 @@
         peers=len(front.members.list_alive_hosts()),
         reads_store=status.reads_store,
         store_calls=front.store_client.call_count,
+        limited=len(front.replicas.list_limited()),
         callers=len(front.caller_server.connections),
     )
 
@@ -110,6 +111,7 @@
         f'anvilhoist_extra_arrivals{{service="{service}"}} {count}\n'
         for service, count in sorted(extra_arrivals.items())
     )
+    text += _render_limits(front)
     return Response(200, [(b"content-type", METRICS_CONTENT_TYPE)], text.encode())
 
 
@@ -127,3 +129,16 @@
         beliefs=front.replicas.count_by_health(),
         peers={peer.vm: peer.host for peer in front.members.list_recent()},
     )
+
+
+def _render_limits(front: Front) -> str:
+    lines = []
+    for replica in front.replicas.list_limited():
+        quota = replica.quota
+        labels = (
+            f'vm="{front.settings.vm}",service="{replica.entry.service}",'
+            f'replica="{replica.entry.instance}"'
+        )
+        lines.append(f"anvilhoist_replica_limit{{{labels}}} {quota.limit:g}\n")
+        lines.append(f"anvilhoist_replica_limit_sent{{{labels}}} {quota.sent}\n")
+    return "".join(lines)
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import re
 from collections.abc import Iterable
 from urllib.parse import parse_qs
 
@@ -28,6 +29,7 @@
 _UNFORWARDED_REQUEST_HEADERS = frozenset(
     (names.DEADLINE_MS, names.TARGET_INSTANCE, b"content-length", b"expect")
 )
+_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?")
 _UNFORWARDED_RESPONSE_HEADERS = frozenset((b"content-length",))
 
 
@@ -161,6 +163,18 @@
         return None
 
 
+def parse_rate_limit(headers: Headers) -> float | None:
+    """Return the rate that a replica accepts from all VMs, in requests per second.
+
+    It is infinite if the replica names none, and None if the value is not a decimal
+    number.
+    """
+    value = find_header(headers, names.RATE_LIMIT)
+    if value is None:
+        return math.inf
+    return float(value) if _DECIMAL.fullmatch(value) else None
+
+
 def build_forwarded_response(reply: Reply) -> Response:
     """Build the caller's response: a replica's without its hop-by-hop headers."""
     return Response(
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -113,6 +113,34 @@
         )
         return dict(Counter(health_classes))
 
+    def log_limit_change(self, replica: Replica, source: str) -> None:
+        """Log a rate limit that was learned, changed or withdrawn.
+
+        Parameters
+        ----------
+        replica : Replica
+            Replica that names the limit.
+        source : str
+            Where the limit was learned.
+        """
+        quota = replica.quota
+        if not quota.take_logged_change():
+            return
+        structlog.get_logger().info(
+            "replica_limit",
+            replica=replica.entry.instance,
+            service=replica.entry.service,
+            limit=quota.limit if quota.is_limited else None,
+            source=source,
+            age_s=round(self.now() - quota.observed_at, 2),
+            sent=quota.sent,
+            vms=self.count_vms(),
+        )
+
+    def list_limited(self) -> list[Replica]:
+        """Return the replicas that name a rate limit."""
+        return [r for r in self.by_instance.values() if r.quota.is_limited]
+
     def _add_replica(self, entry: ReplicaEntry) -> Replica:
         def get_connection_limit() -> int:
             service = self.find_service(entry.service)
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -11,6 +11,7 @@
 from ..http.exchange import Outcome, Reply, ResponseMatcher, ServerConnection
 from ..world.model import ReplicaEntry
 from .health import PROBE_INTERVAL_S, Health
+from .quota import ReplicaQuota
 from .warmup import WarmupLimiter
 
 CONNECT_TIMEOUT_S = 0.8  # below the server's own limit of 1 s for a new connection
@@ -71,6 +72,8 @@
     ----------
     health : Health
         Health estimates from this VM's requests and from reported loads.
+    quota : ReplicaQuota
+        Rate limit that it names.
     retired : bool
         Whether it gets no more requests, because it was removed or replaced, or another
         instance has its address.
@@ -83,6 +86,7 @@
     get_connection_limit: Callable[[], int]
     warmup_limiter: WarmupLimiter
     health: Health = field(default_factory=Health)
+    quota: ReplicaQuota = field(default_factory=ReplicaQuota)
     retired: bool = False
     connection_count: int = 0
     connections_opened: int = 0
@@ -144,6 +148,7 @@
         if self.health.is_unresponsive(now):
             self.health.probed_at = now
         self.warmup_limiter.record_sent(now)
+        self.quota.record_sent()
         exchange = Exchange(
             self.entry.instance, now, self.health.start_request(now, typical_s)
         )
