Failing test: a replica gets more requests than it named, summed over all VMs

What callers saw: nothing; the replica did work that it had asked not to get.

Test: several VMs with their real decisions and heartbeats, in virtual time; one of two replicas of a shard names a limit.

--- /dev/null
+++ b/tests/virtual_fleet.py
@@ -0,0 +1,223 @@
+"""Several VMs with their own decisions, played in virtual time without a network."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+from anvilhoist.forward.call import Call
+from anvilhoist.forward.result import GatherResult
+from anvilhoist.front.process import Front
+from anvilhoist.front.settings import FrontSettings, Listen
+from anvilhoist.http.exchange import Reply
+from anvilhoist.http.limits import ConnectionLimits
+from anvilhoist.http.messages import Request
+from anvilhoist.peers.heartbeats import HEARTBEAT_PERIOD_S
+from anvilhoist.peers.messages import VmState
+from anvilhoist.world.model import (
+    Configuration,
+    ConfigurationChanged,
+    Gather,
+    ReplicaChanged,
+    ReplicaEntry,
+    Route,
+    Service,
+)
+
+SHARDS = ("shard-0", "shard-1", "shard-2", "shard-3")
+GATHER_ROUTE = Route(
+    "search", "h", "/", True, 2.0, 0.25, 2, gather=Gather(SHARDS, 5, 0.5)
+)
+SINGLE_ROUTE = Route("read", "h", "/", True, 2.0, 0.25, 2, services=(("shard-0", 1.0),))
+ANSWER_S = 0.02
+TICK_S = 0.25
+DATA_CENTRES = ("vaxjo", "alvesta", "ljungby")
+_TARGET = re.compile(rb"x-target-instance: *([^\r]+)", re.IGNORECASE)
+
+
+@dataclass(slots=True)
+class FakeReplicas:
+    """All replicas: what they answer, and when requests arrived at each.
+
+    Attributes
+    ----------
+    limits : dict of bytes
+        Value of the header that names a limit, by instance; without an entry, none.
+    arrivals : dict of list of float
+        Times of arrival by instance, in seconds.
+    named_at : dict of float
+        When an instance first named a limit.
+    """
+
+    limits: dict[str, bytes] = field(default_factory=dict)
+    arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
+    named_at: dict[str, float] = field(default_factory=dict)
+
+    def answer(self, data: bytes) -> Reply:
+        instance = _TARGET.search(data)[1].decode()
+        headers = [(b"x-response-signature", instance.encode())]
+        limit = self.limits.get(instance)
+        if limit is not None:
+            headers.append((b"server-limit", limit))
+            now = asyncio.get_running_loop().time()
+            self.named_at.setdefault(instance, now)
+        return Reply(200, headers, b"r" * 16)
+
+    async def open_connection(self, address, timeout_s, on_closed):
+        return FakeConnection(self)
+
+    def count_most(self, instance: str, window_s: float, since: float) -> int:
+        """Return the most arrivals in any window that starts at `since` or later."""
+        times = [at for at in self.arrivals[instance] if at >= since]
+        return max(
+            (sum(start <= at < start + window_s for at in times) for start in times),
+            default=0,
+        )
+
+
+class FakeConnection:
+    """Connection of a VM to a replica that always answers after `ANSWER_S`."""
+
+    def __init__(self, replicas: FakeReplicas):
+        self.replicas = replicas
+        self.idle_since = 0.0
+        self.keep_alive_timeout_s = None
+        self.reusable = True
+        self._timer: asyncio.TimerHandle | None = None
+
+    def send(self, data: bytes, matches, on_outcome) -> None:
+        loop = asyncio.get_running_loop()
+        instance = _TARGET.search(data)[1].decode()
+        self.replicas.arrivals[instance].append(loop.time())
+
+        def finish() -> None:
+            on_outcome(self.replicas.answer(data))
+
+        self._timer = loop.call_later(ANSWER_S, finish)
+
+    def abort(self) -> None:
+        self.reusable = False
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+@dataclass(slots=True)
+class FakeDatagrams:
+    """Transport of a VM that delivers its heartbeats to the others at once."""
+
+    fleet: VirtualFleet
+    host: str
+
+    def is_closing(self) -> bool:
+        return False
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        receiver = self.fleet.fronts.get(address[0])
+        if receiver is None or not self.fleet.is_connected(self.host, address[0]):
+            return
+        endpoint = self.fleet.endpoints[address[0]]
+        loop = asyncio.get_running_loop()
+        loop.call_soon(endpoint.datagram_received, data, (self.host, address[1]))
+
+
+class VirtualFleet:
+    """VMs that serve queries by their own decisions; `copies` replicas a shard."""
+
+    def __init__(self, monkeypatch, vms: int, copies: int = 2, seed: int = 1):
+        self.random = Random(seed)
+        self.replicas = FakeReplicas()
+        self.fronts: dict[str, Front] = {}
+        self.endpoints: dict[str, object] = {}
+        self.separated: set[str] = set()
+        self.results: Counter[str] = Counter()
+        self.missing_parts = 0
+        self.copies = copies
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr("anvilhoist.front.process.read_boottime", loop.time)
+        monkeypatch.setattr(
+            "anvilhoist.upstreams.replica.open_connection",
+            self.replicas.open_connection,
+        )
+        for number in range(1, vms + 1):
+            self.start(number)
+        self._timer = loop.create_task(self._run_timers())
+
+    def is_connected(self, host: str, other: str) -> bool:
+        """Return whether datagrams pass; separated VMs reach only each other."""
+        return (host in self.separated) == (other in self.separated)
+
+    def start(self, number: int) -> None:
+        """Start a VM, anew if it ran before."""
+        host = f"10.0.0.{number}"
+        settings = FrontSettings(
+            f"vm-{number}", host, DATA_CENTRES[number % 3], "smaland", "10.9.0.1:1",
+            Listen(f"{host}:1", f"{host}:2", f"{host}:3"), 7380, 7395,
+            seeds=("10.0.0.1:2", "10.0.0.2:2", "10.0.0.3:2"),
+        )  # fmt: skip
+        front = Front(settings)
+        front.incarnation = int(asyncio.get_running_loop().time() * 1000)
+        front.context.random.seed(number)
+        services = {name: Service(name, 1000) for name in SHARDS}
+        routes = (GATHER_ROUTE, SINGLE_ROUTE)
+        changes = [
+            ConfigurationChanged(Configuration(1, routes, services, ConnectionLimits()))
+        ]
+        for shard in SHARDS:
+            for copy in range(self.copies):
+                data_centre = DATA_CENTRES[copy % 3]
+                instance = f"{shard}-{copy}"
+                entry = ReplicaEntry(
+                    instance, shard, "10.8.0.1:1", data_centre, 4, born_ms=1
+                )
+                changes.append(ReplicaChanged(entry))
+        endpoint = front._heartbeat_endpoint
+        endpoint.connection_made(FakeDatagrams(self, host))
+        self.fronts[host] = front
+        self.endpoints[host] = endpoint
+        front.view.apply(1, changes)
+
+    def kill(self, number: int) -> None:
+        """End a VM at once; it sends nothing more."""
+        host = f"10.0.0.{number}"
+        del self.fronts[host], self.endpoints[host]
+
+    def leave(self, number: int) -> None:
+        """Begin the shutdown of a VM."""
+        front = self.fronts[f"10.0.0.{number}"]
+        front.state = VmState.LEAVING
+        self.endpoints[f"10.0.0.{number}"].send()
+
+    async def play(self, seconds: float, rate: float, route=GATHER_ROUTE, hosts=None):
+        """Play `rate` requests a second, at random VMs or at random ones of `hosts`."""
+        loop = asyncio.get_running_loop()
+        end_at = loop.time() + seconds
+        while loop.time() < end_at:
+            await asyncio.sleep(self.random.expovariate(rate))
+            chosen = self.random.choice(sorted(hosts or self.fronts))
+            loop.create_task(self._request(self.fronts[chosen], route))
+
+    async def _request(self, front: Front, route: Route) -> None:
+        now = asyncio.get_running_loop().time()
+        call = Call(Request(b"GET", b"/", [], arrived_at=now), b"id", "h", now + 2.0)
+        result = await front.forwarder.run(call, route)
+        if isinstance(result, GatherResult):
+            self.missing_parts += len(result.missing)
+            self.results["whole" if not result.missing else "partial"] += 1
+        else:
+            name = "whole" if isinstance(result, Reply) else result.kind.value
+            self.results[name] += 1
+
+    async def _run_timers(self) -> None:
+        beats = 0
+        while True:
+            now = asyncio.get_running_loop().time()
+            for host, front in list(self.fronts.items()):
+                front.replicas.maintain(now)
+                if beats % round(HEARTBEAT_PERIOD_S / TICK_S) == 0:
+                    self.endpoints[host].send()
+                    front.members.expire_silent(now)
+            beats += 1
+            await asyncio.sleep(TICK_S)
