Divide the rate that a replica names between the VMs

What callers saw: nothing; a replica in need got up to 1.9 times the requests that it had named. With other replicas short as well it would have fallen over.

Cause: the limit of a sum over all VMs was heeded by none of them. No decision read it, and a rate that each VM kept on its own would not have held the sum.

Change: each VM computes its place for the replica by rendezvous hash over the VMs that may be alive; the first ones, at most the limit + 2.5, send, each with a token bucket for its share of the rate. A VM that fell silent keeps its share for 12 s. All sends count: first ones, hedges, retries, extra probes. First sends leave the last token to requests that have no other usable replica. VMs tell each other the limits with their heartbeats, with the age of the answer, so that those that may not send learn of a change. If no replica has room, a gather query goes on without the shard, and a request is refused at once with 503 and Retry-After (replicas_limited).

--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -44,6 +44,7 @@
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_REPLICA = "no_replica"
+    REPLICAS_LIMITED = "replicas_limited"
     TOO_FEW_SHARDS = "too_few_shards"
 
 
@@ -91,6 +92,7 @@
     ErrorKind.NO_CONFIGURATION: ErrorResponse(503, Executed.NO),
     ErrorKind.NO_ROUTE: ErrorResponse(404, Executed.NO),
     ErrorKind.NO_REPLICA: ErrorResponse(503, Executed.NO),
+    ErrorKind.REPLICAS_LIMITED: ErrorResponse(503, Executed.NO),
     ErrorKind.TOO_FEW_SHARDS: ErrorResponse(504, Executed.UNKNOWN),
 }
 
--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -83,6 +83,14 @@
         )
         return chosen or choose_probe_target(candidates, now, tried)
 
+    def has_limited_replica(self, route: Route, service: str) -> bool:
+        """Return whether a replica is passed over because its rate limit is spent."""
+        if service not in self.replicas.limited_services:
+            return False
+        now = self.now()
+        candidates = self._list_candidates(route, service)
+        return any(not replica.quota.admits(now) for replica in candidates)
+
     def send(
         self,
         replica: Replica,
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -62,9 +62,13 @@
         replicas = [self._choose_untried(shard) for shard in self._shards]
         reachable = sum(replica is not None for replica in replicas)
         if reachable < self._gather.min_shards or now >= self._schedule.end_at:
-            return refuse(
-                self._context, self._call, self._route, ErrorKind.NO_REPLICA, reachable
-            )
+            kind = ErrorKind.NO_REPLICA
+            if any(
+                shard.limited and replica is None
+                for shard, replica in zip(self._shards, replicas, strict=True)
+            ):
+                kind = ErrorKind.REPLICAS_LIMITED
+            return refuse(self._context, self._call, self._route, kind, reachable)
         self._start_timers()
         try:
             for shard, replica in zip(self._shards, replicas, strict=True):
@@ -83,7 +87,11 @@
             self._cancel_pending()
 
     def _choose_untried(self, shard: ShardState) -> Replica | None:
-        return self._context.choose_replica(self._route, shard.service, shard.tried)
+        context = self._context
+        if context.has_limited_replica(self._route, shard.service):
+            shard.limited = True
+            context.metrics.increment("limited_passed_over", shard.service)
+        return context.choose_replica(self._route, shard.service, shard.tried)
 
     def _send(self, shard: ShardState, replica: Replica) -> None:
         def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
@@ -319,6 +327,7 @@
             left_ms=round((self._call.deadline - now) * 1000),
             shards_in=self._answered_count,
             missing=missing,
+            limited=[shard.service for shard in self._shards if shard.limited],
             tried={shard.service: shard.tried for shard in self._shards},
             round_trip_ms=round(self._plan.round_trip_s * 1000, 2),
             hedges=self._hedges,
--- a/src/anvilhoist/forward/shard.py
+++ b/src/anvilhoist/forward/shard.py
@@ -30,6 +30,8 @@
         Digest and body of the shard's part; the digest is None until it is received.
     abandoned : bool
         Whether nothing more is sent to the shard and its part is not awaited.
+    limited : bool
+        Whether a replica was passed over because its rate limit was spent.
     """
 
     service: str
@@ -41,3 +43,4 @@
     digest: bytes | None = None
     body: bytes = b""
     abandoned: bool = False
+    limited: bool = False
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -51,7 +51,7 @@
         context.budget.add_request(self._service, now)
         replica = context.choose_replica(self._route, self._service, self._tried)
         if replica is None or now >= self._schedule.end_at:
-            return refuse(context, self._call, self._route, ErrorKind.NO_REPLICA)
+            return refuse(context, self._call, self._route, self._find_refusal_kind())
         loop = asyncio.get_running_loop()
         end_s = self._schedule.end_at - now
         self._timers.append(
@@ -117,9 +117,16 @@
                 self._send(replica)
                 return
         self._finish_without_success(
-            ErrorKind.NO_REPLICA if self._attempts == 0 else ErrorKind.UPSTREAM_FAILED
+            self._find_refusal_kind()
+            if self._attempts == 0
+            else ErrorKind.UPSTREAM_FAILED
         )
 
+    def _find_refusal_kind(self) -> ErrorKind:
+        if self._context.has_limited_replica(self._route, self._service):
+            return ErrorKind.REPLICAS_LIMITED
+        return ErrorKind.NO_REPLICA
+
     def _may_send(self) -> bool:
         if self._sends >= MAX_SENDS:
             return False
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -23,10 +23,12 @@
 from ..metrics import Metrics
 from ..peers.exchange import answer_peer
 from ..peers.heartbeats import HEARTBEAT_PERIOD_S, HeartbeatEndpoint
+from ..peers.limits import apply_limit_reports, collect_limit_reports
 from ..peers.members import Members
-from ..peers.messages import Heartbeat, VmState
+from ..peers.messages import Heartbeat, LimitReport, VmState
 from ..peers.reading import RELAY_INDEXES, PeerReader
 from ..peers.relays import STORE_READERS
+from ..peers.senders import SenderOrder
 from ..platform.edge import (
     encode_addresses,
     encode_error_response,
@@ -41,6 +43,7 @@
 from ..world.follow import StoreFollower
 from ..world.model import Service
 from ..world.view import View
+from .api import start_api_server
 from .reload import SettingsReloader
 from .report import answer_operators, log_summary, register_gauges
 from .settings import Bounds, FrontSettings
@@ -93,7 +96,11 @@
             settings.host, settings.seed_hosts, now, settings.data_centre
         )
         self.replicas = ReplicaRegistry(
-            now, self._find_service, self._count_vms, self.members.ranks_first_for
+            now,
+            self._find_service,
+            self._count_vms,
+            self.members.ranks_first_for,
+            SenderOrder(self.members).rank,
         )
         self.view = View(now, self.replicas.update, self._mark_ready)
         self.context = Context(
@@ -112,7 +119,11 @@
             "callers", self.forwarder.handle, self._read_limits
         )
         self._heartbeat_endpoint = HeartbeatEndpoint(
-            self.members, settings.peers_port, self.make_heartbeat, self.context.random
+            self.members,
+            settings.peers_port,
+            self.make_heartbeat,
+            self.context.random,
+            self._apply_limits,
         )
         self._directory = AddressDirectory(self.members, self.context.random)
         self.store_client = StoreClient(settings.store)
@@ -153,7 +164,9 @@
         )
         await self.caller_server.listen(listen.callers)
         if listen.searches is not None:
-            self._api_server = await start_api_server(self, listen.searches)
+            self._api_server = await start_api_server(
+                self, listen.searches, ADDRESS_KEEP_S, SUMMARY_INTERVAL_S
+            )
         follower = StoreFollower(
             self.view,
             self.store_client,
@@ -274,8 +287,12 @@
             self.view.revision,
             self.members.sample_liveness_ages(self.context.random),
             asks,
+            collect_limit_reports(self.replicas, read_boottime(), self.context.random),
         )
 
+    def _apply_limits(self, reports: tuple[LimitReport, ...]) -> None:
+        apply_limit_reports(self.replicas, reports, read_boottime())
+
     def _find_service(self, name: str) -> Service | None:
         configuration = self.view.configuration
         return configuration.services.get(name) if configuration else None
@@ -299,29 +316,6 @@
     )
 
 
-async def start_api_server(front: Front, address: str) -> SearchServer:
-    """Start the server of the JSON interface."""
-    # Imported only here: the libraries of the JSON interface double the start time.
-    from ..searches.api import SearchApi
-    from ..searches.serve import SearchServer
-    from ..searches.tickets import TicketRegistry
-
-    tickets = TicketRegistry(front.settings.vm, front.incarnation, read_boottime)
-    port = int(address.rpartition(":")[2])
-    api = SearchApi(
-        front.forwarder,
-        front.members,
-        front.make_heartbeat,
-        tickets,
-        port,
-        ADDRESS_KEEP_S,
-    )
-    front.timers.subscribe(SUMMARY_INTERVAL_S, tickets.evict_expired)
-    server = SearchServer(api)
-    await server.listen(address)
-    return server
-
-
 async def serve(settings: FrontSettings, settings_path: str | None) -> int:
     """Run the front process until SIGTERM or SIGINT, and return its exit code."""
     log_buffer = configure_logs(settings.vm)
--- a/src/anvilhoist/front/report.py
+++ b/src/anvilhoist/front/report.py
@@ -140,5 +140,6 @@
             f'replica="{replica.entry.instance}"'
         )
         lines.append(f"anvilhoist_replica_limit{{{labels}}} {quota.limit:g}\n")
+        lines.append(f"anvilhoist_replica_share{{{labels}}} {quota.share.rate:g}\n")
         lines.append(f"anvilhoist_replica_limit_sent{{{labels}}} {quota.sent}\n")
     return "".join(lines)
--- a/src/anvilhoist/peers/heartbeats.py
+++ b/src/anvilhoist/peers/heartbeats.py
@@ -11,11 +11,18 @@
 from ..errors import ErrorKind, Failure
 from .gossip import ANNOUNCE_DURATION_S, choose_targets
 from .members import Members
-from .messages import Heartbeat, VmState, decode_heartbeat, encode_heartbeat
+from .messages import (
+    Heartbeat,
+    LimitReport,
+    VmState,
+    decode_heartbeat,
+    encode_heartbeat,
+)
 
 HEARTBEAT_PERIOD_S = 0.5
 
 MakeHeartbeat = Callable[[bool], Heartbeat]
+ApplyLimits = Callable[[tuple[LimitReport, ...]], None]
 
 
 class HeartbeatEndpoint(asyncio.DatagramProtocol):
@@ -32,15 +39,23 @@
         for an answer.
     random : Random
         Selects the receivers.
+    apply_limits : callable
+        Records the rate limits that another VM reports.
     """
 
     def __init__(
-        self, members: Members, port: int, make_heartbeat: MakeHeartbeat, random: Random
+        self,
+        members: Members,
+        port: int,
+        make_heartbeat: MakeHeartbeat,
+        random: Random,
+        apply_limits: ApplyLimits = lambda limits: None,
     ):
         self._members = members
         self._port = port
         self._make_heartbeat = make_heartbeat
         self._random = random
+        self._apply_limits = apply_limits
         self._transport: asyncio.DatagramTransport | None = None
         self._announced_state: VmState | None = None
         self._announce_until = 0.0
@@ -65,6 +80,7 @@
             )
             return
         self._members.record(found)
+        self._apply_limits(found.limits)
         if found.asks:
             self._send_to((found.host,), self._make_heartbeat(False))
 
--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -183,12 +183,13 @@
         These are seeds that are not alive, and VMs that others hear but that have not
         sent a heartbeat to this one, or not since they were lost.
         """
-        now = self.now()
-        unconfirmed = {
-            host for host, until in self._unconfirmed_until.items() if until > now
-        }
         seeds = {host for host in self.seeds if not self.is_alive(host)}
-        return (unconfirmed | seeds) - {self.host}
+        return (self.list_mentioned() | seeds) - {self.host}
+
+    def list_mentioned(self) -> set[str]:
+        """Return the IP addresses of VMs that only others hear."""
+        now = self.now()
+        return {host for host, until in self._unconfirmed_until.items() if until > now}
 
     def list_lost(self) -> list[str]:
         """Return the IP addresses of the lost VMs; some may be alive."""
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -37,6 +37,27 @@
     LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """Rate limit of one replica, as a VM knows it.
+
+    Attributes
+    ----------
+    instance, born_ms : str, int
+        Id of the replica, and the time of its start as its entry names it.
+    limit : float or None
+        Requests per second that it accepts from all VMs together; None if it names no
+        limit any more.
+    age : int
+        Time since it answered this, in units of `AGE_UNIT_S`.
+    """
+
+    instance: str
+    born_ms: int
+    limit: NonNegative | None
+    age: AgeUnits
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """What a VM regularly tells other VMs about itself and those that it hears.
@@ -65,6 +86,8 @@
         an integer.
     asks : bool
         Whether the receiver should answer with a heartbeat of its own.
+    limits : tuple of LimitReport
+        Rate limits that replicas name; not all of them if there are many.
     """
 
     vm: str
@@ -79,6 +102,7 @@
     revision: int
     heard: dict[Ipv4Integer, AgeUnits]
     asks: bool = False
+    limits: tuple[LimitReport, ...] = ()
 
 
 class ChangeMessage(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/anvilhoist/upstreams/choice.py
+++ b/src/anvilhoist/upstreams/choice.py
@@ -65,6 +65,8 @@
 ) -> Replica | None:
     """Choose the usable replica with the lowest estimated cost.
 
+    One whose rate is limited and whose share is nearly spent comes after all others.
+
     Parameters
     ----------
     replicas : iterable of Replica
@@ -86,15 +88,16 @@
         None if no untried replica is usable.
     """
     best: Replica | None = None
-    best_cost = 0.0
+    best_order = (False, 0.0)
     for replica in replicas:
         if replica.entry.instance in tried or not replica.is_usable(now):
             continue
         cost = estimate_cost(replica, data_centre, now, repeatable) * (
             1.0 + TIE_BREAK_JITTER * random.random()
         )
-        if best is None or cost < best_cost:
-            best, best_cost = replica, cost
+        order = (replica.quota.is_nearly_spent(now), cost)
+        if best is None or order < best_order:
+            best, best_order = replica, order
     return best
 
 
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -10,6 +10,7 @@
 
 from ..world.model import ReplicaEntry, Service
 from .health import Health
+from .quota import ReplicaQuota, SenderRank
 from .replica import Replica
 from .warmup import WarmupLimiter
 
@@ -43,14 +44,26 @@
         Number of VMs that share each replica's connections.
     is_sender : callable
         Whether this VM is the one that sends to an instance while it is cold.
+    rank_sender : callable
+        Place of this VM among those that may send to an instance with a rate limit.
+
+    Attributes
+    ----------
+    by_instance : dict of Replica
+        All replicas in use.
+    unresponsive_services, limited_services : set of str
+        Services with unresponsive replicas, and with replicas that name a rate limit;
+        as of the last `maintain`.
     """
 
     now: Callable[[], float]
     find_service: Callable[[str], Service | None]
     count_vms: Callable[[], int]
     is_sender: Callable[[str], bool]
+    rank_sender: Callable[[str], SenderRank] = lambda instance: SenderRank(0, 1)
     by_instance: dict[str, Replica] = field(default_factory=dict)
     unresponsive_services: set[str] = field(default_factory=set)
+    limited_services: set[str] = field(default_factory=set)
     _health_classes: dict[str, str] = field(default_factory=dict)
     _by_service: dict[str, list[Replica]] = field(
         default_factory=lambda: defaultdict(list)
@@ -92,11 +105,9 @@
         ]
 
     def maintain(self, now: float) -> None:
-        """Close connections that were idle too long; log changed health classes.
-
-        `unresponsive_services` then names the services with unresponsive replicas.
-        """
+        """Close connections that were idle too long; log changed health classes."""
         self.unresponsive_services.clear()
+        self.limited_services = {r.entry.service for r in self.list_limited()}
         for instance, replica in self.by_instance.items():
             replica.close_stale_connections(now)
             health_class = classify_health(replica.health, now)
@@ -126,6 +137,7 @@
         quota = replica.quota
         if not quota.take_logged_change():
             return
+        rank = quota.get_rank()
         structlog.get_logger().info(
             "replica_limit",
             replica=replica.entry.instance,
@@ -134,7 +146,9 @@
             source=source,
             age_s=round(self.now() - quota.observed_at, 2),
             sent=quota.sent,
-            vms=self.count_vms(),
+            rank=rank.rank,
+            vms=rank.vm_count,
+            share=round(quota.share.rate, 3) if quota.is_limited else None,
         )
 
     def list_limited(self) -> list[Replica]:
@@ -152,7 +166,8 @@
             return service.cold_rate if service else 0.0
 
         limiter = WarmupLimiter(get_warmup_rate, lambda: self.is_sender(entry.instance))
-        replica = Replica(entry, self.now, get_connection_limit, limiter)
+        quota = ReplicaQuota(lambda: self.rank_sender(entry.instance))
+        replica = Replica(entry, self.now, get_connection_limit, limiter, quota)
         self.by_instance[entry.instance] = replica
         self._by_service[entry.service].append(replica)
         return replica
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -67,13 +67,13 @@
         Number of connections that this VM may hold to it.
     warmup_limiter : WarmupLimiter
         Limits the rate of requests while it is cold.
+    quota : ReplicaQuota
+        Limits the rate of requests while it names a limit.
 
     Attributes
     ----------
     health : Health
         Health estimates from this VM's requests and from reported loads.
-    quota : ReplicaQuota
-        Rate limit that it names.
     retired : bool
         Whether it gets no more requests, because it was removed or replaced, or another
         instance has its address.
@@ -85,8 +85,8 @@
     now: Callable[[], float]
     get_connection_limit: Callable[[], int]
     warmup_limiter: WarmupLimiter
-    health: Health = field(default_factory=Health)
     quota: ReplicaQuota = field(default_factory=ReplicaQuota)
+    health: Health = field(default_factory=Health)
     retired: bool = False
     connection_count: int = 0
     connections_opened: int = 0
@@ -104,6 +104,7 @@
             self.accepts_requests
             and not self.health.is_unresponsive(now)
             and self.warmup_limiter.admits(now)
+            and self.quota.admits(now)
             and self._has_connection_capacity()
         )
 
@@ -117,6 +118,7 @@
             and self.health.is_unresponsive(now)
             and self.health.is_probe_due(now, interval_s)
             and self.warmup_limiter.admits(now)
+            and self.quota.admits(now)
             and self._has_connection_capacity()
         )
 
@@ -148,7 +150,7 @@
         if self.health.is_unresponsive(now):
             self.health.probed_at = now
         self.warmup_limiter.record_sent(now)
-        self.quota.record_sent()
+        self.quota.record_sent(now)
         exchange = Exchange(
             self.entry.instance, now, self.health.start_request(now, typical_s)
         )
