Show that a response that ends in its head never counts as complete

Reported by another operator: a replica stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body.

Looked for here: every cut within the head (and, where the body is framed, within the body) of a response with a length, in chunks, and without a length; also after an interim response and after a response to another request; on the event loop of the standard library and on uvloop, which runs in production.

Result: each is a failure, so the fault can't happen here: only a complete head decides that a body ends with its connection.

--- a/src/anvilhoist/site/replicas.py
+++ b/src/anvilhoist/site/replicas.py
@@ -23,7 +23,8 @@
 # SO_LINGER with a time of 0 s: closing sends RST instead of FIN.
 LINGER_ZERO = struct.pack("ii", 1, 0)
 FAULTS = (
-    "", "slow", "dark", "shed", "extra", "cut", "reset", "unframed", "fail", "gone",
+    "", "slow", "dark", "shed", "extra", "cut", "cut_head", "reset", "unframed",
+    "fail", "gone",
 )  # fmt: skip
 SLOWDOWN_FACTOR = 8.0  # Multiplies the time of a request under the fault "slow".
 # Probability that a request is hit by a fault other than "slow", "dark" and "gone".
@@ -51,6 +52,7 @@
         - "shed": requests are rejected with status 503.
         - "extra": the answer is sent twice.
         - "cut": the answer ends early, and the connection is closed.
+        - "cut_head": the same, in the head of the answer.
         - "reset": the connection is reset in place of an answer.
         - "unframed": the answer has no content length, and may end early with a reset.
         - "fail": the request runs and gets status 500.
@@ -170,6 +172,11 @@
         if self.fault == "cut" and fault_applies:
             writer.write(self._encode_response(attempt, 200, body)[:-20])
             return False
+        if self.fault == "cut_head" and fault_applies:
+            data = self._encode_response(attempt, 200, body)
+            head_bytes = data.index(b"\r\n\r\n")
+            writer.write(data[: self._random.randrange(head_bytes + 3)])
+            return False
         if self.fault == "unframed" and fault_applies:
             return await self._write_unframed(writer, attempt, body)
         self._write_response(writer, attempt, 200, body)
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -5,6 +5,7 @@
 import struct
 
 import pytest
+import uvloop
 
 from anvilhoist.errors import ErrorKind, Failure
 from anvilhoist.http.connect import open_connection
@@ -62,26 +63,27 @@
         writer.close()
 
 
-def run_exchanges(scripted_server: ScriptedServer, count: int) -> tuple[list, bool]:
+async def exchange(scripted_server: ScriptedServer, count: int) -> tuple[list, bool]:
     """Return the outcomes of requests on one connection, and whether it is reusable."""
+    server = await asyncio.start_server(scripted_server.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    connection = await open_connection(f"127.0.0.1:{port}", TIMEOUT_S)
+    outcomes = []
+    for _ in range(count):
+        future = asyncio.get_running_loop().create_future()
+        request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
+        connection.send(request, matches, future.set_result)
+        outcomes.append(await asyncio.wait_for(future, TIMEOUT_S))
+        await asyncio.sleep(0.02)
+    reusable = connection.reusable
+    connection.abort()
+    server.close()
+    return outcomes, reusable
 
-    async def run():
-        server = await asyncio.start_server(scripted_server.serve, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        connection = await open_connection(f"127.0.0.1:{port}", TIMEOUT_S)
-        outcomes = []
-        for _ in range(count):
-            future = asyncio.get_running_loop().create_future()
-            request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
-            connection.send(request, matches, future.set_result)
-            outcomes.append(await asyncio.wait_for(future, TIMEOUT_S))
-            await asyncio.sleep(0.02)
-        reusable = connection.reusable
-        connection.abort()
-        server.close()
-        return outcomes, reusable
 
-    return asyncio.run(run())
+def run_exchanges(scripted_server: ScriptedServer, count: int) -> tuple[list, bool]:
+    """Run `exchange` on a loop of its own."""
+    return asyncio.run(exchange(scripted_server, count))
 
 
 class TestServerConnection:
@@ -240,3 +242,41 @@
         assert outcome.kind is ErrorKind.UPSTREAM_FAILED
         assert not reusable
         assert server.sent_bytes <= max_sent
+
+
+UNFRAMED_RESPONSE = b"HTTP/1.1 200 OK\r\nid: ours\r\n\r\nrecords"
+CHUNKED_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\nid: ours\r\ntransfer-encoding: chunked\r\n\r\n"
+    b"7\r\nrecords\r\n0\r\n\r\n"
+)
+STRAY_RESPONSE = b"HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 0\r\n\r\n"
+
+
+class TestResponseThatEndsInItsHead:
+    """A server sends a part of a response and closes its connection in order."""
+
+    @pytest.mark.parametrize("loop_factory", [None, uvloop.new_event_loop])
+    @pytest.mark.parametrize("before", [b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"])
+    @pytest.mark.parametrize(
+        "response", [make_response(b"records"), CHUNKED_RESPONSE, UNFRAMED_RESPONSE]
+    )
+    def test_is_a_failure_wherever_it_is_cut(self, loop_factory, before, response):
+        head_bytes = response.index(b"\r\n\r\n") + 4
+        is_framed = response is not UNFRAMED_RESPONSE
+        cuts = range(len(response) if is_framed else head_bytes)
+        parts = [before + response[:cut] for cut in cuts]
+
+        async def run() -> list:
+            servers = [ScriptedServer(part, at_end="close") for part in parts]
+            found = await asyncio.gather(*(exchange(server, 1) for server in servers))
+            return [outcomes[0] for outcomes, _ in found]
+
+        with asyncio.Runner(loop_factory=loop_factory) as runner:
+            outcomes = runner.run(run())
+        assert len(outcomes) == len(parts)
+        assert all(isinstance(outcome, Failure) for outcome in outcomes)
+
+    def test_is_a_failure_after_a_response_to_another_request(self):
+        data = STRAY_RESPONSE + make_response(b"records")[:30]
+        (outcome,), _ = run_exchanges(ScriptedServer(data, at_end="close"), 1)
+        assert isinstance(outcome, Failure)
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -235,7 +235,9 @@
         late_results = [r for r in results if r.sent_at > results[0].sent_at + 3.0]
         assert compute_success_rate(late_results) == 1.0
 
-    @pytest.mark.parametrize("fault", ["extra", "cut", "reset", "unframed", "shed"])
+    @pytest.mark.parametrize(
+        "fault", ["extra", "cut", "cut_head", "reset", "unframed", "shed"]
+    )
     def test_faulty_answers(self, fault):
         async def action(site, load):
             unsharded = [
