Refuse at once what a stopping VM can't complete before it exits

Reported by another operator: in a planned stop of one VM, requests that came late in the grace time were passed on and cut at its end, among them ones that may not be repeated.

What callers saw here: not a cut without a response, but a 504 at the exit for a request that had come up to the last moment and was running at a replica; a request that may not be repeated was lost to its caller, as a 504 promises nothing.

Cause: the shutdown knew when the process exits, the forwarding did not. It took each request as if it had the caller's whole time, and told the replica so.

Change: the forwarding knows when the process stops to serve. A request that is expected to need longer (its latency objective, or 5 times the 90th percentile) is refused with 503 and Retry-After 0, so that its caller goes to another VM; what is passed on ends, and lets its replica end, before the exit.

--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -45,6 +45,7 @@
     NO_ROUTE = "no_route"
     NO_REPLICA = "no_replica"
     REPLICAS_LIMITED = "replicas_limited"
+    STOPPING = "stopping"
     TOO_FEW_SHARDS = "too_few_shards"
 
 
@@ -93,6 +94,7 @@
     ErrorKind.NO_ROUTE: ErrorResponse(404, Executed.NO),
     ErrorKind.NO_REPLICA: ErrorResponse(503, Executed.NO),
     ErrorKind.REPLICAS_LIMITED: ErrorResponse(503, Executed.NO),
+    ErrorKind.STOPPING: ErrorResponse(503, Executed.NO),
     ErrorKind.TOO_FEW_SHARDS: ErrorResponse(504, Executed.UNKNOWN),
 }
 
--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -47,6 +47,8 @@
         Region of each data centre.
     random : Random
         Splits traffic between services and breaks ties between replicas.
+    serves_until : float
+        When the process stops to serve, in seconds; infinite until its shutdown.
     """
 
     now: Callable[[], float]
@@ -58,6 +60,7 @@
     metrics: Metrics
     region_by_data_centre: dict[str, str] = field(default_factory=dict)
     random: Random = field(default_factory=Random)
+    serves_until: float = math.inf
 
     def choose_replica(
         self, route: Route, service: str, tried: list[str]
--- a/src/anvilhoist/forward/handler.py
+++ b/src/anvilhoist/forward/handler.py
@@ -20,6 +20,7 @@
 from .result import ForwardResult, GatherResult, Refusal
 from .routes import RouteTable, choose_service
 from .single import SingleRun
+from .timing import estimate_completion
 
 BAD_REQUEST_STATUS = 400
 
@@ -48,6 +49,8 @@
         """Run a call on a route and return its result."""
         context = self.context
         context.metrics.increment("requests", route.name)
+        if not self._can_complete(route):
+            return refuse(context, call, route, ErrorKind.STOPPING)
         if route.gather is not None:
             return await GatherRun(context, call, route, route.gather).run()
         service = choose_service(route, context.random)
@@ -55,6 +58,13 @@
             return refuse(context, call, route, ErrorKind.NO_REPLICA)
         return await SingleRun(context, call, route, service).run()
 
+    def _can_complete(self, route: Route) -> bool:
+        """Return whether a request that begins now ends before the process stops."""
+        context = self.context
+        latency = context.latencies.get(route.name, route.target_s)
+        completed_at = context.now() + estimate_completion(route, latency.p90_s)
+        return completed_at < context.serves_until
+
     async def _find_route_and_run(self, call: Call) -> ForwardResult:
         context = self.context
         configuration = context.view.configuration
--- a/src/anvilhoist/forward/plan.py
+++ b/src/anvilhoist/forward/plan.py
@@ -39,7 +39,8 @@
     """Plan a call on its route."""
     latency = context.latencies.get(route.name, route.target_s)
     round_trip_s = call.request.read_round_trip()
+    deadline = min(call.deadline, context.serves_until)
     schedule = plan_schedule(
-        route, call.request.arrived_at, call.deadline, latency.p90_s, round_trip_s
+        route, call.request.arrived_at, deadline, latency.p90_s, round_trip_s
     )
     return CallPlan(prepare_headers(call), latency, schedule, round_trip_s)
--- a/src/anvilhoist/forward/refusal.py
+++ b/src/anvilhoist/forward/refusal.py
@@ -17,8 +17,8 @@
 def compute_retry_after(kind: ErrorKind, left_s: float) -> float | None:
     """Return the delay before a caller may retry, in seconds, or None.
 
-    It is None where a retry can't help or is unsafe: no such resource exists, or the
-    request ran or may have run.
+    It is 0 where other VMs serve the caller at once. It is None where a retry can't
+    help or is unsafe: no such resource exists, or the request ran or may have run.
 
     Parameters
     ----------
@@ -32,6 +32,8 @@
         or ERROR_RESPONSES[kind].status == 404
     ):
         return None
+    if kind is ErrorKind.STOPPING:
+        return 0.0
     return max(0.0, min(MAX_RETRY_AFTER_S, MAX_RETRY_AFTER_SHARE * left_s))
 
 
--- a/src/anvilhoist/forward/timing.py
+++ b/src/anvilhoist/forward/timing.py
@@ -30,6 +30,8 @@
 # Upper limit of the hedge delay, as a share of the partial answer's delay. It leaves
 # time for the hedge to be answered.
 MAX_HEDGE_PARTIAL_ANSWER_SHARE = 0.5
+# Time that a request is expected to need at most, in multiples of the 90th percentile.
+COMPLETION_P90_FACTOR = 5.0
 DEADLINE_MARGIN_S = 0.01  # between the end of a request and the caller's deadline
 
 
@@ -77,6 +79,23 @@
     return max(MIN_PARTIAL_ANSWER_SHARE * target_s, min(latest_s, target_s - reserve_s))
 
 
+def estimate_completion(route: Route, p90_s: float) -> float:
+    """Return the time that a request is expected to need at most, in seconds.
+
+    Load: callers that still send to a VM near the end of its shutdown. A request that
+    needs longer than the VM has left is better served by another one.
+
+    Parameters
+    ----------
+    route : Route
+        Its route.
+    p90_s : float
+        90th percentile of the durations of the route's requests at single replicas, in
+        seconds.
+    """
+    return min(route.timeout_s, max(route.target_s, COMPLETION_P90_FACTOR * p90_s))
+
+
 def plan_schedule(
     route: Route,
     arrived_at: float,
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -204,6 +204,7 @@
         plan = plan_shutdown(
             read_boottime(), self.settings.bounds.stop_s, ADDRESS_KEEP_S
         )
+        self.context.serves_until = plan.exit_at
         await self._serve_until_exit(plan)
         self.caller_server.stop_listening()
         # Requests that were accepted last are still answered.
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from anvilhoist.forward.call import Call
-from anvilhoist.forward.result import GatherResult
+from anvilhoist.forward.result import ForwardResult, GatherResult
 from anvilhoist.front.process import Front
 from anvilhoist.front.settings import FrontSettings, Listen
 from anvilhoist.http.exchange import Reply
@@ -34,6 +34,7 @@
 SINGLE_ROUTE = Route("read", "h", "/", True, 2.0, 0.25, 2, services=(("shard-0", 1.0),))
 ANSWER_S = 0.02
 TICK_S = 0.25
+CALLER_WAIT_S = 2.0
 DATA_CENTRES = ("vaxjo", "alvesta", "ljungby")
 _TARGET = re.compile(rb"x-target-instance: *([^\r]+)", re.IGNORECASE)
 
@@ -50,11 +51,14 @@
         Times of arrival by instance, in seconds.
     named_at : dict of float
         When an instance first named a limit.
+    answer_s : float
+        Time until a request is answered, in seconds.
     """
 
     limits: dict[str, bytes] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     named_at: dict[str, float] = field(default_factory=dict)
+    answer_s: float = ANSWER_S
 
     def answer(self, data: bytes) -> Reply:
         instance = _TARGET.search(data)[1].decode()
@@ -79,7 +83,7 @@
 
 
 class FakeConnection:
-    """Connection of a VM to a replica that always answers after `ANSWER_S`."""
+    """Connection of a VM to a replica that always answers."""
 
     def __init__(self, replicas: FakeReplicas):
         self.replicas = replicas
@@ -96,7 +100,7 @@
         def finish() -> None:
             on_outcome(self.replicas.answer(data))
 
-        self._timer = loop.call_later(ANSWER_S, finish)
+        self._timer = loop.call_later(self.replicas.answer_s, finish)
 
     def abort(self) -> None:
         self.reusable = False
@@ -197,12 +201,17 @@
         while loop.time() < end_at:
             await asyncio.sleep(self.random.expovariate(rate))
             chosen = self.random.choice(sorted(hosts or self.fronts))
-            loop.create_task(self._request(self.fronts[chosen], route))
+            loop.create_task(self._request_and_count(self.fronts[chosen], route))
 
-    async def _request(self, front: Front, route: Route) -> None:
+    async def request(self, front: Front, route: Route) -> ForwardResult:
+        """Play one request at a VM, whose caller waits for `CALLER_WAIT_S`."""
         now = asyncio.get_running_loop().time()
-        call = Call(Request(b"GET", b"/", [], arrived_at=now), b"id", "h", now + 2.0)
-        result = await front.forwarder.run(call, route)
+        request = Request(b"GET", b"/", [], arrived_at=now)
+        call = Call(request, b"id", "h", now + CALLER_WAIT_S)
+        return await front.forwarder.run(call, route)
+
+    async def _request_and_count(self, front: Front, route: Route) -> None:
+        result = await self.request(front, route)
         if isinstance(result, GatherResult):
             self.missing_parts += len(result.missing)
             self.results["whole" if not result.missing else "partial"] += 1
