Let a VM that has just started count the VMs that it only heard of

What replicas saw: after a restart in a large fleet, a VM took its share of the retry budget and of each replica's connections as if the fleet were its seeds: a fourth instead of a 33rd.

Cause: the same class as the limits that replicas name, a bound over all VMs of which each keeps a part by its own view. The fleet was counted from the VMs that had sent a heartbeat to this one; at 33 VMs it takes several seconds to hear all of them, though the first heartbeat names up to 96.

Evidence: the new test fails before, 2 VMs counted instead of 33.

Change: VMs that others hear count from the first heartbeat that names them. The order of those that may send to a limited replica uses the same list.

Result: tests of peers, quotas and stopping pass.

--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -108,7 +108,7 @@
         self._members[heartbeat.host] = Member(heartbeat, now)
         self._unconfirmed_until.pop(heartbeat.host, None)
         self._record_gossiped_ages(heartbeat.heard, now)
-        self._peak_fleet_size = max(self._peak_fleet_size, 1 + len(self.list_recent()))
+        self._peak_fleet_size = max(self._peak_fleet_size, len(self.list_possible()))
 
     def expire_silent(self, now: float) -> None:
         """Mark and log VMs that are newly lost, and forget those silent for long."""
@@ -186,6 +186,15 @@
         seeds = {host for host in self.seeds if not self.is_alive(host)}
         return (self.list_mentioned() | seeds) - {self.host}
 
+    def list_possible(self) -> set[str]:
+        """Return the IP addresses of all VMs that may be alive, this one included.
+
+        A VM that has just started counts those that only others hear, so that it takes
+        no larger share of a common limit than it should.
+        """
+        recent = {heartbeat.host for heartbeat in self.list_recent()}
+        return {self.host} | recent | self.list_mentioned()
+
     def list_mentioned(self) -> set[str]:
         """Return the IP addresses of VMs that only others hear."""
         now = self.now()
--- a/src/anvilhoist/peers/senders.py
+++ b/src/anvilhoist/peers/senders.py
@@ -53,17 +53,16 @@
         """Return the IP addresses of all VMs that may send, this one included.
 
         A VM that fell silent may be alive behind a network partition, and keeps its
-        share for a while, unless it had said that it leaves. A VM that has just started
-        counts those that it has only heard of, too.
+        share for a while, unless it had said that it leaves.
         """
         members = self.members
-        hosts = {
+        left = {
             heartbeat.host
             for heartbeat in members.list_recent()
-            if heartbeat.state is not VmState.LEAVING
-            or members.is_alive(heartbeat.host)
+            if heartbeat.state is VmState.LEAVING
+            and not members.is_alive(heartbeat.host)
         }
-        hosts |= members.list_mentioned()
+        hosts = members.list_possible() - left
         if now - self._started_at < RECENT_S:
             hosts.update(members.seeds)
-        return frozenset(hosts | {members.host})
+        return frozenset(hosts)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -70,6 +70,12 @@
         self.at = 0.0
         return Members("10.0.0.1", seeds, lambda: self.at)
 
+    def test_vm_that_just_started_counts_the_vms_that_it_only_heard_of(self):
+        members = self.make()
+        heard = {encode_ipv4(f"10.0.0.{number}"): 3 for number in range(3, 34)}
+        members.record(make_heartbeat(2, heard=heard))
+        assert members.peak_fleet_size == 33
+
     def test_silent_vm_is_not_listed_but_still_counted(self):
         members = self.make()
         for number in (2, 3, 4):
