Learn within seconds that a replica names no limit any more

What replicas saw, in the new tests: after a limit of 0 was withdrawn, some VMs still kept to it 15 s later; for the first 250 ms of a limit, refusals named the wrong kind (no_replica).

Cause: a replica whose share is nearly spent comes last, also where nobody had heard from it since; at a limit of 0 that is the rule. The set of services with limited replicas was made anew only four times a second.

Change: a limit of which no answer was heard for 3 s is checked with the next request of a VM that may send. The set follows each answer. A VM that learns of a limit starts with one request, so that a service whose replicas all name a limit is not without any.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -193,4 +193,4 @@
         if limit == math.inf and verdict not in (Verdict.SUCCEEDED, Verdict.FAILED):
             return
         replica.quota.record_answer(limit, exchange.sent_at, self.now())
-        self.replicas.log_limit_change(replica, "response")
+        self.replicas.note_limit_change(replica, "response")
--- a/src/anvilhoist/peers/limits.py
+++ b/src/anvilhoist/peers/limits.py
@@ -46,4 +46,4 @@
         limit = math.inf if report.limit is None else report.limit
         observed_at = now - report.age * AGE_UNIT_S
         replica.quota.record_report(limit, observed_at, now)
-        replicas.log_limit_change(replica, "peer")
+        replicas.note_limit_change(replica, "peer")
--- a/src/anvilhoist/upstreams/choice.py
+++ b/src/anvilhoist/upstreams/choice.py
@@ -65,7 +65,8 @@
 ) -> Replica | None:
     """Choose the usable replica with the lowest estimated cost.
 
-    One whose rate is limited and whose share is nearly spent comes after all others.
+    One with a rate limit comes first if the limit has not been heard of for a while,
+    and after all others if this VM's share of it is nearly spent.
 
     Parameters
     ----------
@@ -88,14 +89,15 @@
         None if no untried replica is usable.
     """
     best: Replica | None = None
-    best_order = (False, 0.0)
+    best_order = (False, False, 0.0)
     for replica in replicas:
         if replica.entry.instance in tried or not replica.is_usable(now):
             continue
         cost = estimate_cost(replica, data_centre, now, repeatable) * (
             1.0 + TIE_BREAK_JITTER * random.random()
         )
-        order = (replica.quota.is_nearly_spent(now), cost)
+        quota = replica.quota
+        order = (not quota.is_refresh_due(now), quota.is_nearly_spent(now), cost)
         if best is None or order < best_order:
             best, best_order = replica, order
     return best
--- a/src/anvilhoist/upstreams/quota.py
+++ b/src/anvilhoist/upstreams/quota.py
@@ -17,9 +17,12 @@
 BURST_REQUESTS = 2.5
 # Requests per second of all VMs together to a replica that accepts fewer. Without them
 # nobody would notice that it accepts more again.
-MIN_RATE = 0.25
+MIN_RATE = 0.4
 # Requests that a VM keeps back for those that have no other usable replica.
 RESERVED_REQUESTS = 1.0
+# Age of a limit from which a request is sent to learn whether it still holds, even if
+# another replica would be faster.
+REFRESH_S = 3.0
 MIN_LOGGED_CHANGE = 0.1  # relative change of a limit that is worth a log line
 # How long a withdrawn limit is reported to other VMs, and one that a VM still assumes.
 WITHDRAWAL_REPORT_S = 15.0
@@ -155,6 +158,10 @@
             return False
         return self._refill(now) < min(1.0 + RESERVED_REQUESTS, self.share.burst)
 
+    def is_refresh_due(self, now: float) -> bool:
+        """Return whether a request should be sent to learn whether the limit holds."""
+        return self.is_limited and now - self.observed_at > REFRESH_S
+
     def record_sent(self, now: float) -> None:
         """Count a request that is sent to the replica."""
         if self.is_limited:
@@ -174,7 +181,7 @@
     def _set_limit(self, limit: float, observed_at: float, now: float) -> None:
         if not self.is_limited and limit < math.inf:
             self.sent = 0
-            self._tokens = 0.0
+            self._tokens = 1.0
             self._refilled_at = now
         if self.is_limited and limit == math.inf:
             self._report_until = now + WITHDRAWAL_REPORT_S
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -52,8 +52,7 @@
     by_instance : dict of Replica
         All replicas in use.
     unresponsive_services, limited_services : set of str
-        Services with unresponsive replicas, and with replicas that name a rate limit;
-        as of the last `maintain`.
+        Services with unresponsive replicas, and with replicas that name a rate limit.
     """
 
     now: Callable[[], float]
@@ -124,8 +123,8 @@
         )
         return dict(Counter(health_classes))
 
-    def log_limit_change(self, replica: Replica, source: str) -> None:
-        """Log a rate limit that was learned, changed or withdrawn.
+    def note_limit_change(self, replica: Replica, source: str) -> None:
+        """Log a rate limit if it was learned, changed or withdrawn.
 
         Parameters
         ----------
@@ -135,6 +134,8 @@
             Where the limit was learned.
         """
         quota = replica.quota
+        if quota.is_limited:
+            self.limited_services.add(replica.entry.service)
         if not quota.take_logged_change():
             return
         rank = quota.get_rank()
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -9,7 +9,7 @@
 from random import Random
 
 from anvilhoist.forward.call import Call
-from anvilhoist.forward.result import ForwardResult, GatherResult
+from anvilhoist.forward.result import ForwardResult, GatherResult, Refusal
 from anvilhoist.front.process import Front
 from anvilhoist.front.settings import FrontSettings, Listen
 from anvilhoist.http.exchange import Reply
@@ -138,6 +138,8 @@
         self.separated: set[str] = set()
         self.results: Counter[str] = Counter()
         self.missing_parts = 0
+        self.refusal_s: list[float] = []
+        self.phase_at = 0.0
         self.copies = copies
         loop = asyncio.get_running_loop()
         monkeypatch.setattr("anvilhoist.front.process.read_boottime", loop.time)
@@ -211,6 +213,7 @@
         return await front.forwarder.run(call, route)
 
     async def _request_and_count(self, front: Front, route: Route) -> None:
+        started_at = asyncio.get_running_loop().time()
         result = await self.request(front, route)
         if isinstance(result, GatherResult):
             self.missing_parts += len(result.missing)
@@ -218,6 +221,9 @@
         else:
             name = "whole" if isinstance(result, Reply) else result.kind.value
             self.results[name] += 1
+            if isinstance(result, Refusal):
+                waited_s = asyncio.get_running_loop().time() - started_at
+                self.refusal_s.append(waited_s)
 
     async def _run_timers(self) -> None:
         beats = 0
