Forget VMs that nobody hears any more, and log none as lost when it is forgotten

What operators saw: nothing yet; entries of VMs that only others had heard of stayed in memory for the life of the process, and a VM that was silent for ten minutes without a check in between was logged as lost as it was forgotten.

Cause: expired entries were skipped, never removed; the check of lost VMs went on after the removal. Both were known faults; the first matters more now that these entries count for the shares of rate limits.

Evidence: both new tests fail before.

Change: each check removes what has expired, and a forgotten VM ends its check.

--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -112,11 +112,17 @@
 
     def expire_silent(self, now: float) -> None:
         """Mark and log VMs that are newly lost, and forget those silent for long."""
+        self._unconfirmed_until = {
+            host: until
+            for host, until in self._unconfirmed_until.items()
+            if until > now
+        }
         lost_after_s = self.lost_after_s
         for host, member in list(self._members.items()):
             silent_s = now - member.heard_at
             if silent_s > FORGET_AFTER_S:
                 del self._members[host]
+                continue
             if member.lost or silent_s <= lost_after_s:
                 continue
             member.lost = True
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,7 +21,7 @@
 from anvilhoist.peers.exchange import PeerClient, answer_peer
 from anvilhoist.peers.gossip import choose_targets
 from anvilhoist.peers.heartbeats import HEARTBEAT_PERIOD_S
-from anvilhoist.peers.members import LOST_AFTER_S, RECENT_S, Members
+from anvilhoist.peers.members import FORGET_AFTER_S, LOST_AFTER_S, RECENT_S, Members
 from anvilhoist.peers.messages import (
     Heartbeat,
     ViewMessage,
@@ -70,6 +70,23 @@
         self.at = 0.0
         return Members("10.0.0.1", seeds, lambda: self.at)
 
+    def test_vms_that_nobody_hears_any_more_are_forgotten(self):
+        members = self.make()
+        members.record(make_heartbeat(2, heard={encode_ipv4("10.0.0.9"): 3}))
+        assert members.list_mentioned() == {"10.0.0.9"}
+        self.at = RECENT_S + 1.0
+        members.expire_silent(self.at)
+        assert members._unconfirmed_until == {}
+
+    def test_vm_that_is_forgotten_is_not_logged_as_lost(self):
+        members = self.make()
+        members.record(make_heartbeat(2))
+        self.at = FORGET_AFTER_S + 1.0
+        structlog.reset_defaults()
+        with structlog.testing.capture_logs() as lines:
+            members.expire_silent(self.at)
+        assert lines == []
+
     def test_vm_that_just_started_counts_the_vms_that_it_only_heard_of(self):
         members = self.make()
         heard = {encode_ipv4(f"10.0.0.{number}"): 3 for number in range(3, 34)}
