Show with real processes that replicas get no more than the rate they name

Until now the sums over all VMs were shown in virtual time only.

Change: the stand-in replicas got a fault in which they name a limit of 2 a second; a run with three front processes sets it on every second replica, waits 4 s and counts the requests of the next 4 s at each. The soak draws this fault too.

--- a/src/anvilhoist/site/replicas.py
+++ b/src/anvilhoist/site/replicas.py
@@ -24,9 +24,10 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 FAULTS = (
     "", "slow", "dark", "shed", "extra", "cut", "cut_head", "reset", "unframed",
-    "fail", "gone",
+    "fail", "limit", "gone",
 )  # fmt: skip
 SLOWDOWN_FACTOR = 8.0  # Multiplies the time of a request under the fault "slow".
+RATE_LIMIT_PER_S = 2.0  # for all VMs together, under the fault "limit"
 # Probability that a request is hit by a fault other than "slow", "dark" and "gone".
 FAULT_PROBABILITY = 0.5
 
@@ -56,6 +57,7 @@
         - "reset": the connection is reset in place of an answer.
         - "unframed": the answer has no content length, and may end early with a reset.
         - "fail": the request runs and gets status 500.
+        - "limit": answers name `RATE_LIMIT_PER_S`; further requests are served too.
         - "gone": new connections are refused, also after another fault is set.
     runs : list of dict
         Requests that began to run, with instance, service, attempt id, request line,
@@ -234,6 +236,8 @@
         ]
         if status in (200, 500):
             headers.append((names.DIGEST, make_digest(self.service, attempt)))
+        if self.fault == "limit":
+            headers.append((names.RATE_LIMIT, b"%.1f" % RATE_LIMIT_PER_S))
         header_lines = [
             b"HTTP/1.1 %d Said" % status,
             *(b"%s: %s" % pair for pair in headers),
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -15,6 +15,7 @@
 from anvilhoist.peers.relays import RANKING_KEY, STORE_READERS
 from anvilhoist.site.invariants import TrafficCutoff, find_violations
 from anvilhoist.site.load import LoadGenerator
+from anvilhoist.site.replicas import RATE_LIMIT_PER_S
 from anvilhoist.site.site import (
     DATA_CENTRES,
     NEXT_SHARDS,
@@ -27,6 +28,8 @@
 
 CUTOFF_DELAY_S = 3.0  # Time after a change by which a replica gets no more requests.
 SEED = 7
+LIMIT_GRACE_S = 4.0  # Time after which VMs keep to a rate limit that a replica names.
+LIMIT_WINDOW_S = 4.0  # Time in which its requests are counted.
 OCTETS_PER_WORKER = 20  # Loopback octets, one a site, for each pytest-xdist worker.
 _loopback_octets = itertools.count(2 + WORKER * OCTETS_PER_WORKER)
 
@@ -70,6 +73,12 @@
     return sum(result.status == 200 for result in results) / len(results)
 
 
+async def count_arrivals(site: Site) -> dict[str, int]:
+    """Return how many requests have arrived at each replica."""
+    arrivals = json.loads(await site.send_replicas_command("arrivals"))
+    return {instance: len(times) for instance, times in arrivals.items()}
+
+
 def list_relays(site: Site, data_centre: str) -> list[Vm]:
     """Return the VMs of a data centre through which its other VMs read the store."""
     vms = {vm.host: vm for vm in site.fleet if vm.data_centre == data_centre}
@@ -251,6 +260,26 @@
         searches = [r for r in results if r.path.startswith("/search")]
         assert compute_success_rate(searches) > 0.9
 
+    def test_replicas_get_no_more_than_the_rate_that_they_name(self):
+        limited: list[str] = []
+
+        async def action(site, load):
+            limited.extend(list(site.entries)[::2])
+            for instance in limited:
+                await site.set_fault(instance, "limit")
+            await asyncio.sleep(LIMIT_GRACE_S)
+            counts.append(await count_arrivals(site))
+            await asyncio.sleep(LIMIT_WINDOW_S)
+            counts.append(await count_arrivals(site))
+
+        counts: list[dict[str, int]] = []
+        results, _, violations = run_under_load(action, seconds=0.5)
+        assert not violations
+        assert compute_success_rate(results) > 0.98
+        allowed = 1.5 * RATE_LIMIT_PER_S * LIMIT_WINDOW_S + 5
+        for instance in limited:
+            assert counts[1][instance] - counts[0][instance] <= allowed
+
     def test_reshard(self):
         async def action(site, load):
             for service in NEXT_SHARDS:
