Close the connections of the tests' servers when they are cancelled

What was seen: a warning in each test run, "Event loop is closed", of a connection that was left to the garbage collector after its loop had ended.

Cause: the servers of tests/test_server_connection.py closed a connection only if their function ran to its end, not if it was cancelled.

Change: they close it in any case. No check changed.

--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -57,10 +57,11 @@
                 await reader.read()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
-        if self.at_end == "reset":
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        writer.close()
+        finally:
+            if self.at_end == "reset":
+                client = writer.get_extra_info("socket")
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.close()
 
 
 async def exchange(scripted_server: ScriptedServer, count: int) -> tuple[list, bool]:
@@ -185,6 +186,8 @@
                 self.sent_bytes += len(self.repeated)
                 await writer.drain()
         except ConnectionError:
+            pass
+        finally:
             writer.close()
 
 
