--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -19,6 +19,7 @@
 from anvilhoist.http.messages import Request, Response
 from anvilhoist.http.server import HttpServer
 from anvilhoist.peers.heartbeats import HeartbeatEndpoint
+from anvilhoist.peers.limits import apply_limit_reports, collect_limit_reports
 from anvilhoist.peers.members import Members
 from anvilhoist.peers.messages import (
     Heartbeat,
@@ -34,10 +35,12 @@
     MAX_WAIT_S,
     classify_reply,
     parse_call,
+    parse_rate_limit,
     parse_server_load,
 )
 from anvilhoist.platform.publish import encode_replica, replica_key
 from anvilhoist.platform.store import StoreClient
+from anvilhoist.upstreams.registry import ReplicaRegistry
 from anvilhoist.world.model import ReplicaChanged, ReplicaEntry, Snapshot
 from anvilhoist.world.source import ChangeBatch
 from conftest import WORKER
@@ -216,6 +219,31 @@
         members.expire_silent(100.0)
         members.sample_liveness_ages(Random(1))
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["i-1", "i-2"]),
+                st.integers(-1, 1),
+                st.none() | st.floats(),
+                st.integers(-1, 1 << 62),
+            ),
+            max_size=4,
+        )
+    )
+    def test_any_limits(self, limits):
+        fields = cbor2.loads(encode_heartbeat(HEARTBEAT)) | {"limits": limits}
+        found = decode_heartbeat(cbor2.dumps(fields))
+        replicas = ReplicaRegistry(
+            lambda: 100.0, lambda name: None, lambda: 1, lambda instance: True
+        )
+        replicas.update("i-1", ENTRY)
+        if isinstance(found, Heartbeat):
+            apply_limit_reports(replicas, found.limits, 100.0)
+        quota = replicas.by_instance["i-1"].quota
+        assert quota.limit >= 0
+        quota.admits(100.0)
+        collect_limit_reports(replicas, 100.0, Random(1))
+
     @given(st.binary(max_size=200))
     def test_any_bytes(self, data):
         decode_heartbeat(data)
@@ -289,7 +317,10 @@
             (b"x-server-load", other),
             (b"x-not-executed", name_value),
             (b"x-response-signature", other),
+            (b"server-limit", other),
         ]
         classify_reply(Reply(200, replica_headers, b""), call)
         load = parse_server_load(replica_headers)
         assert load is None or load >= 0
+        limit = parse_rate_limit(replica_headers)
+        assert limit is None or limit >= 0
