--- a/src/anvilhoist/upstreams/quota.py
+++ b/src/anvilhoist/upstreams/quota.py
@@ -70,9 +70,9 @@
 def compute_share(limit: float, rank: SenderRank) -> QuotaShare:
     """Return a VM's share of a rate limit.
 
-    A share allows at least one request at once. There are as many senders as keep to
-    the limit even if each of them sends all that it can in one window; of those that
-    it can't send in part, no sender has more than its whole ones.
+    A request can't be sent in part, so a share allows at least one at once. Where
+    every VM's part of the burst is smaller than that, there are as many senders as
+    keep to the limit even if each of them sends all that it may in one window.
 
     Parameters
     ----------
@@ -84,18 +84,18 @@
     rate = max(limit, MIN_RATE)
     burst = limit + BURST_REQUESTS
     window_s = COUNTING_WINDOW_S + ARRIVAL_MARGIN_S
-    most = rate * COUNTING_WINDOW_S + burst
+    window_requests = rate * COUNTING_WINDOW_S + burst
     senders = rank.vm_count
     if senders > burst:
-        refills = int(rate / senders * window_s)
-        senders = min(senders, int(most / (1 + refills)))
+        requests_each = 1 + int(rate / senders * window_s)
+        senders = min(senders, int(window_requests / requests_each))
     if rank.rank >= senders:
         return NO_SHARE
     sender_rate = rate / senders
-    sender_most = int(most / senders)
-    # A fraction of a request can't be sent, so the burst may be larger by one.
-    sender_burst = max(burst / senders, sender_most + 1 - sender_rate * window_s)
-    return QuotaShare(sender_rate, sender_burst)
+    requests_each = int(window_requests / senders)
+    # With this burst, the request after these ones falls into another window.
+    whole_burst = requests_each + 1 - sender_rate * window_s
+    return QuotaShare(sender_rate, max(burst / senders, whole_burst))
 
 
 @dataclass(slots=True)
