--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -73,6 +73,17 @@
     return sum(result.status == 200 for result in results) / len(results)
 
 
+def read_log_lines(site: Site, results: list) -> str:
+    """Return the lines of all processes' logs that name one of the requests."""
+    lines = [
+        line
+        for log in sorted(site.run_directory.glob("*.log"))
+        for line in log.read_text().splitlines()
+        if any(result.attempt in line for result in results)
+    ]
+    return "\n".join(lines)
+
+
 async def count_arrivals(site: Site) -> dict[str, int]:
     """Return how many requests have arrived at each replica."""
     arrivals = json.loads(await site.send_replicas_command("arrivals"))
@@ -157,7 +168,8 @@
         results, site, violations = run_under_load(action)
         assert not violations
         assert compute_success_rate(results) == 1.0
-        assert not any(result.missing_shards for result in results)
+        incomplete = [result for result in results if result.missing_shards]
+        assert not incomplete, read_log_lines(site, incomplete)
         assert set(site.exit_codes) == {0}
 
     def test_drain(self):
