Confirm removals by relays whose link to the store held

What callers saw: nothing as long as the removed replica served on; a VM that nothing had happened to sent to it for up to 7.5 s after the removal, where 3 s are allowed. Once such a replica exits, requests to it fail first and are sent again.

Cause: the grace period for entries that may have lapsed in an outage was one time for the whole view. A VM that reads through others took over the period of the relay whose link flaps, although the other relay had read the same removal over a link that held; and each further outage began the period anew for removals read long before.

Change: a VM that has been in contact with the store for longer than entries take to return tells its readers up to which revision removals are certain; they drop what is missing up to there. Each removal in doubt has a deadline of its own, which outages of relays don't move and an own outage moves by its duration. A VM that has just started, or was paused, states nothing, as it can't know of an outage. replica_missing is logged.

Why it works: the doubt now belongs to a removal and its reader, and certainty spreads as doubt did, over any number of relays.

Result: tests/test_store_outages.py: 9 of 29 cases failed on the code before, all pass.

--- a/src/anvilhoist/oncall/story.py
+++ b/src/anvilhoist/oncall/story.py
@@ -15,6 +15,7 @@
     "replica_believed": "replica",
     "replica_listed": "replica",
     "replica_gone": "replica",
+    "replica_missing": "replica",
     "replica_limit": "replica",
     "configuration_in_force": "version",
     "data_centre_out": "name",
--- a/src/anvilhoist/peers/exchange.py
+++ b/src/anvilhoist/peers/exchange.py
@@ -114,6 +114,7 @@
         tuple(pack_change(change) for change in changes),
         view.age_s,
         view.grace_left_s,
+        view.confirmed_revision,
     )
     return Response(200, [], encode_view(message))
 
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -142,12 +142,16 @@
     doubt_s : float
         Remaining time for which the sender keeps replicas without an entry, in
         seconds.
+    confirmed : int
+        Revision up to which the sender knows that removed entries did not lapse in an
+        outage.
     """
 
     revision: int
     changes: tuple[ChangeMessage, ...]
     age_s: NonNegative
     doubt_s: NonNegative = 0.0
+    confirmed: Annotated[int, Meta(ge=0)] = 0
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
--- a/src/anvilhoist/peers/reading.py
+++ b/src/anvilhoist/peers/reading.py
@@ -114,6 +114,7 @@
         elif isinstance(found, ViewMessage):
             self.view.extend_grace_period(found.doubt_s)
             self.view.apply(found.revision, unpack_changes(found), found.age_s)
+            self.view.confirm_removals(found.confirmed)
         self._log_relay(relay, found)
         return isinstance(found, ViewMessage)
 
@@ -137,5 +138,9 @@
 
 def _unpack_snapshot(message: ViewMessage) -> Snapshot:
     return Snapshot(
-        message.revision, unpack_changes(message), message.age_s, message.doubt_s
+        message.revision,
+        unpack_changes(message),
+        message.age_s,
+        message.doubt_s,
+        message.confirmed,
     )
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -11,7 +11,7 @@
 from ..errors import Failure
 from .model import Snapshot
 from .source import ChangeSource, HistoryGone
-from .view import View
+from .view import RETURN_GRACE_S, View
 
 # How long one watch waits for changes; a dead connection is detected after this.
 WATCH_WAIT_S = 2.0
@@ -27,6 +27,9 @@
 NON_READER_RETRY_S = 1.2
 # Entries may have lapsed if the store did not answer for longer than this.
 MIN_OUTAGE_S = 1.0
+# Entries may also have lapsed unnoticed if no watch came to its end for longer than
+# this, as after a pause of the process.
+MAX_UNNOTICED_GAP_S = WATCH_WAIT_S + MAX_PAUSE_S + 2 * MIN_OUTAGE_S
 PEER_FALLBACK_AFTER_S = 1.0  # time without the store after which a peer is asked
 # Age at which a view read through others is too old, and this VM asks the store itself.
 MAX_RELAYED_AGE_S = 2.8
@@ -77,6 +80,7 @@
     store_lost: bool = False
     _store_answered_at: float | None = None
     _started_at: float = 0.0
+    _in_contact_since: float | None = None
     _has_snapshot: bool = False
 
     async def run(self) -> None:
@@ -114,6 +118,8 @@
                 self._has_snapshot = True
             case _:
                 self.view.apply(found.revision, found.changes)
+        if self._has_long_contact():
+            self.view.confirm_removals(self.view.revision)
         return True
 
     def _record_failure(self, failure: Failure) -> None:
@@ -126,15 +132,25 @@
     def _record_answer(self) -> None:
         now = self.now()
         last_contact_at = self._find_last_contact()
+        outage_s = now - last_contact_at
         self._store_answered_at = now
+        if self._in_contact_since is None or outage_s > MAX_UNNOTICED_GAP_S:
+            self._in_contact_since = now
         if not self.store_lost:
             return
         self.store_lost = False
-        outage_s = now - last_contact_at
         structlog.get_logger().info("store_regained", outage_s=round(outage_s, 2))
         if outage_s > MIN_OUTAGE_S:
+            self._in_contact_since = now
             self.view.start_grace_period(outage_s)
 
+    def _has_long_contact(self) -> bool:
+        """Return whether entries that lapsed in an outage have had time to return.
+
+        A process that has just started does not know whether there was an outage.
+        """
+        return self.now() - self._in_contact_since >= RETURN_GRACE_S
+
     def _find_last_contact(self) -> float:
         # Others may have read the store for this VM until a moment ago.
         answered_at = self._store_answered_at
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -194,9 +194,13 @@
         itself.
     grace_left_s : float
         Remaining time for which the source keeps replicas without an entry, in seconds.
+    confirmed_revision : int
+        Revision up to which the source knows that removed entries did not lapse in an
+        outage.
     """
 
     revision: int
     changes: list[Change] = field(default_factory=list)
     age_s: float = 0.0
     grace_left_s: float = 0.0
+    confirmed_revision: int = 0
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -24,6 +24,22 @@
 RETURN_GRACE_S = 2.3
 
 
+@dataclass(frozen=True, slots=True)
+class _MissingEntry:
+    """Entry that was removed while the removal is in doubt.
+
+    Attributes
+    ----------
+    revision : int
+        Revision at which the removal was read.
+    until : float
+        Time up to which the replica is kept in use, in seconds.
+    """
+
+    revision: int
+    until: float
+
+
 @dataclass(slots=True)
 class View:
     """Configuration in force, replicas in use, data centres out of service.
@@ -37,6 +53,12 @@
         longer be used.
     on_configuration_changed : callable
         Called after a configuration has come into force.
+
+    Attributes
+    ----------
+    confirmed_revision : int
+        Revision up to which removed entries are known not to have lapsed in an outage,
+        as a VM has read them that was in contact with the store for long enough.
     """
 
     now: Callable[[], float]
@@ -47,8 +69,9 @@
     entries: dict[str, ReplicaEntry] = field(default_factory=dict)
     data_centres_out: set[str] = field(default_factory=set)
     synced_at: float | None = None
+    confirmed_revision: int = 0
     change_log: ChangeLog = field(default_factory=ChangeLog)
-    _missing_since: dict[str, float] = field(default_factory=dict)
+    _missing: dict[str, _MissingEntry] = field(default_factory=dict)
     _grace_until: float = 0.0
 
     @property
@@ -117,47 +140,75 @@
             if isinstance(change, DataCentreChanged)
         }
         for instance in [name for name in self.entries if name not in present]:
-            self._apply_change(ReplicaRemoved(instance))
+            self._handle_removal(instance, snapshot.revision)
         for data_centre in self.data_centres_out - out:
-            self._apply_change(DataCentreChanged(data_centre, False))
+            self._set_data_centre_out(data_centre, False)
         self._apply_all(snapshot.revision, snapshot.changes)
         self._record_sync(snapshot.age_s)
+        self.confirm_removals(snapshot.confirmed_revision)
         self.change_log.reset(snapshot.revision)
 
     def start_grace_period(self, outage_s: float) -> None:
-        """Keep replicas whose entry lapsed in an outage, for `RETURN_GRACE_S`."""
+        """Keep replicas whose entry lapsed in an outage, for `RETURN_GRACE_S`.
+
+        Entries that were missing before the outage could not return in it either, so
+        they are kept for as much longer as it lasted.
+        """
         self.extend_grace_period(RETURN_GRACE_S)
+        self._missing = {
+            instance: _MissingEntry(missing.revision, missing.until + outage_s)
+            for instance, missing in self._missing.items()
+        }
         structlog.get_logger().info("entries_in_doubt", outage_s=round(outage_s, 2))
 
     def extend_grace_period(self, seconds: float) -> None:
-        """Keep replicas without an entry for at least `seconds` from now."""
+        """Keep replicas whose entry is removed from now on for at least `seconds`.
+
+        Entries that are missing already are kept no longer than before.
+        """
         self._grace_until = max(self._grace_until, self.now() + seconds)
 
+    def confirm_removals(self, revision: int) -> None:
+        """Remove replicas that were kept in doubt, as their removal is confirmed.
+
+        Parameters
+        ----------
+        revision : int
+            Revision up to which removals are confirmed.
+        """
+        self.confirmed_revision = max(
+            self.confirmed_revision, min(revision, self.revision)
+        )
+        for instance, missing in list(self._missing.items()):
+            if missing.revision <= self.confirmed_revision:
+                self._remove_replica(instance, "removal confirmed")
+
     def drop_missing(self, now: float) -> None:
         """Remove replicas whose entry did not return in the grace period."""
-        if not self._missing_since or now < self._grace_until:
-            return
-        for instance in list(self._missing_since):
-            self._remove_replica(instance, "entry did not return in the grace period")
+        for instance, missing in list(self._missing.items()):
+            if missing.until <= now:
+                self._remove_replica(instance, "entry did not return in time")
 
     def take_snapshot(self) -> Snapshot:
         """Return what this view holds, without replicas whose entry is missing."""
         changes: list[Change] = [
             ReplicaChanged(entry)
             for entry in self.entries.values()
-            if entry.instance not in self._missing_since
+            if entry.instance not in self._missing
         ]
         changes += [
             DataCentreChanged(name, True) for name in sorted(self.data_centres_out)
         ]
         if self.configuration is not None:
             changes.append(ConfigurationChanged(self.configuration))
-        return Snapshot(self.revision, changes)
+        return Snapshot(
+            self.revision, changes, confirmed_revision=self.confirmed_revision
+        )
 
     def _apply_all(self, revision: int, changes: list[Change]) -> None:
         before = self.configuration
         for change in changes:
-            self._apply_change(change)
+            self._apply_change(change, revision)
         self.revision = revision
         if self.configuration is not before:
             self.on_configuration_changed()
@@ -166,14 +217,14 @@
         synced_at = self.now() - age_s
         self.synced_at = max(synced_at, self.synced_at or synced_at)
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(self, change: Change, revision: int) -> None:
         match change:
             case ConfigurationChanged(configuration):
                 self._set_configuration(configuration)
             case ReplicaChanged(entry):
                 self._put_entry(entry)
             case ReplicaRemoved(instance):
-                self._handle_removal(instance)
+                self._handle_removal(instance, revision)
             case DataCentreChanged(data_centre, out):
                 self._set_data_centre_out(data_centre, out)
 
@@ -193,7 +244,7 @@
         known = self.entries.get(entry.instance)
         if known is not None and entry.born_ms < known.born_ms:
             return
-        self._missing_since.pop(entry.instance, None)
+        self._missing.pop(entry.instance, None)
         self.entries[entry.instance] = entry
         if known != entry:
             self.on_replica_changed(entry.instance, entry)
@@ -206,16 +257,23 @@
                 cold_s=entry.cold_s,
             )
 
-    def _handle_removal(self, instance: str) -> None:
-        if instance not in self.entries:
+    def _handle_removal(self, instance: str, revision: int) -> None:
+        if instance not in self.entries or instance in self._missing:
             return
-        if self.now() < self._grace_until:
-            self._missing_since.setdefault(instance, self.now())
+        now = self.now()
+        if now >= self._grace_until:
+            self._remove_replica(instance, "entry removed")
             return
-        self._remove_replica(instance, "entry removed")
+        self._missing[instance] = _MissingEntry(revision, self._grace_until)
+        structlog.get_logger().info(
+            "replica_missing",
+            replica=instance,
+            revision=revision,
+            kept_s=round(self._grace_until - now, 2),
+        )
 
     def _remove_replica(self, instance: str, why: str) -> None:
-        self._missing_since.pop(instance, None)
+        self._missing.pop(instance, None)
         if self.entries.pop(instance, None) is None:
             return
         structlog.get_logger().info("replica_gone", replica=instance, why=why)
--- /dev/null
+++ b/tests/test_store_outages.py
@@ -0,0 +1,303 @@
+"""Which removals VMs believe, with relays, while links to the store fail."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from anvilhoist.errors import ErrorKind, Failure
+from anvilhoist.http.limits import ConnectionLimits
+from anvilhoist.http.messages import Request
+from anvilhoist.peers.exchange import CHANGES_PATH, VIEW_PATH, answer_peer
+from anvilhoist.peers.members import Members
+from anvilhoist.peers.messages import Heartbeat, VmState, decode_view
+from anvilhoist.peers.reading import RELAY_INDEXES, PeerReader
+from anvilhoist.world.follow import StoreFollower
+from anvilhoist.world.model import (
+    Change,
+    Configuration,
+    ConfigurationChanged,
+    ReplicaChanged,
+    ReplicaEntry,
+    ReplicaRemoved,
+    Snapshot,
+)
+from anvilhoist.world.source import ChangeBatch, HistoryGone
+from anvilhoist.world.view import View
+from virtual_time import run_in_virtual_time
+
+DRAIN_S = 3.0  # time after which no undisturbed VM may use a replica that is gone
+RETURN_S = 2.0  # time within which live replicas are back after an outage
+TICK_S = 0.1
+LINK_CUT_S, LINK_UP_S = 1.2, 0.9  # a link that fails again and again
+ENTRY = ReplicaEntry("i-1", "shard", "10.0.0.1:80", "vaxjo", 3, born_ms=5)
+OTHER = ReplicaEntry("i-2", "shard", "10.0.0.2:80", "vaxjo", 3, born_ms=5)
+LOST = Failure(ErrorKind.STORE_UNREACHED, "cut")
+
+
+@dataclass(slots=True)
+class FakeStore:
+    """Store whose links to single VMs can be cut, by number of the VM."""
+
+    changes: list[Change] = field(default_factory=list)
+    cut: set[int] = field(default_factory=set)
+
+    @property
+    def revision(self) -> int:
+        return len(self.changes)
+
+    def put(self, change: Change) -> None:
+        self.changes.append(change)
+
+
+@dataclass(slots=True)
+class FakeLink:
+    """Link of one VM to the store."""
+
+    store: FakeStore
+    number: int
+
+    async def read_all(self) -> Snapshot | Failure:
+        if self.number in self.store.cut:
+            return LOST
+        items = {}
+        for change in self.store.changes:
+            match change:
+                case ReplicaChanged(entry):
+                    items[entry.instance] = change
+                case ReplicaRemoved(instance):
+                    items.pop(instance, None)
+                case _:
+                    items[type(change)] = change
+        return Snapshot(self.store.revision, list(items.values()))
+
+    async def watch(self, after: int, wait_s: float) -> ChangeBatch | Failure:
+        now = asyncio.get_running_loop().time
+        end_at = now() + wait_s
+        while self.number not in self.store.cut:
+            if self.store.revision > after or now() >= end_at:
+                changes = self.store.changes[after:]
+                return ChangeBatch(self.store.revision, changes)
+            await asyncio.sleep(TICK_S / 10)
+        return LOST
+
+    def close(self) -> None:
+        return
+
+
+class FakePeerClient:
+    """Client of a VM that calls it without a network."""
+
+    views: dict[str, View]
+
+    def __init__(self, address: str):
+        self.address = address
+
+    async def read_all(self):
+        return await self._request(VIEW_PATH)
+
+    async def read_changes(self, after: int, wait_s: float):
+        wait_ms = int(wait_s * 1000)
+        return await self._request(f"{CHANGES_PATH}?after={after}&wait_ms={wait_ms}")
+
+    def close(self) -> None:
+        return
+
+    async def _request(self, target: str):
+        request = Request(b"GET", target.encode(), [])
+        response = await answer_peer(self.views[self.address], request)
+        if response.status == 410:
+            return HistoryGone()
+        if response.status != 200:
+            return Failure(ErrorKind.PEER_LOST, f"status {response.status}")
+        return decode_view(response.body)
+
+
+class Zone:
+    """Three VMs: numbers 0 and 1 read the store, number 2 reads through them."""
+
+    FOLLOWER = 2
+
+    def __init__(self, monkeypatch):
+        self.store = FakeStore()
+        self.views: dict[int, View] = {}
+        self.tasks: dict[int, list[asyncio.Task]] = {}
+        self.now = asyncio.get_running_loop().time
+        FakePeerClient.views = {}
+        monkeypatch.setattr("anvilhoist.peers.reading.PeerClient", FakePeerClient)
+        configuration = Configuration(1, (), {}, ConnectionLimits())
+        self.store.put(ConfigurationChanged(configuration))
+        self.store.put(ReplicaChanged(ENTRY))
+        self.store.put(ReplicaChanged(OTHER))
+        for number in range(3):
+            self.start(number)
+
+    def start(self, number: int) -> None:
+        """Start a VM, anew if it runs."""
+        for task in self.tasks.pop(number, ()):
+            task.cancel()
+        view = View(self.now, lambda instance, entry: None)
+        members = Members(f"10.0.0.{number}", (), self.now, "vaxjo")
+        reader = PeerReader(members, view)
+        coroutines = [self._run_timer(view)]
+        if number == self.FOLLOWER:
+            for relay in range(2):
+                members.record(make_heartbeat(relay))
+            reader._relays = ("10.0.0.0", "10.0.0.1")
+            coroutines += [reader.follow_relay(index) for index in RELAY_INDEXES]
+            coroutines.append(self._hear_relays(members))
+        follower = StoreFollower(
+            view,
+            FakeLink(self.store, number),
+            reader.fetch_newer,
+            self.now,
+            lambda: 2,
+            lambda: number != self.FOLLOWER,
+        )
+        coroutines.append(follower.run())
+        FakePeerClient.views[f"10.0.0.{number}:2"] = view
+        self.views[number] = view
+        loop = asyncio.get_running_loop()
+        self.tasks[number] = [loop.create_task(part) for part in coroutines]
+
+    async def _run_timer(self, view: View) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            view.drop_missing(self.now())
+
+    async def _hear_relays(self, members: Members) -> None:
+        beat = 1
+        while True:
+            beat += 1
+            for relay in range(2):
+                members.record(make_heartbeat(relay, beat))
+            await asyncio.sleep(0.5)
+
+    async def flap(self, *numbers: int) -> None:
+        """Cut the links of these VMs to the store in turn, until cancelled."""
+        while True:
+            for number in numbers:
+                self.store.cut.add(number)
+                await asyncio.sleep(LINK_CUT_S)
+                self.store.cut.discard(number)
+                await asyncio.sleep(LINK_UP_S)
+
+    async def change_often(self) -> None:
+        """Write a change three times a second, until cancelled."""
+        while True:
+            self.store.put(ReplicaChanged(OTHER))
+            await asyncio.sleep(0.33)
+
+    async def measure_use(self, number: int, most_s: float) -> float:
+        """Return for how long a VM uses the replica, at most `most_s` seconds."""
+        start = self.now()
+        while ENTRY.instance in self.views[number].entries:
+            if self.now() - start >= most_s:
+                break
+            await asyncio.sleep(TICK_S / 10)
+        return self.now() - start
+
+
+def make_heartbeat(number: int, beat: int = 1) -> Heartbeat:
+    host = f"10.0.0.{number}"
+    return Heartbeat(
+        f"vm-{number}", 1, beat, host, f"{host}:1", f"{host}:2", "vaxjo", "smaland",
+        VmState.READY, 1, {},
+    )  # fmt: skip
+
+
+@pytest.fixture
+def play(monkeypatch):
+    def run(act):
+        async def main():
+            zone = Zone(monkeypatch)
+            await asyncio.sleep(4.0)
+            return await act(zone)
+
+        return run_in_virtual_time(main())
+
+    return run
+
+
+class TestRemovals:
+    @pytest.mark.parametrize("since_s", [0.3, 1.0, 1.25, 1.5, 2.0, 2.4, 3.0, 4.2])
+    @pytest.mark.parametrize("busy", [False, True])
+    def test_vm_with_one_failing_relay_believes_the_other(self, play, since_s, busy):
+        # Guards against a removal kept in doubt while another VM's link flaps.
+        async def act(zone):
+            tasks = [asyncio.create_task(zone.flap(0))]
+            if busy:
+                tasks.append(asyncio.create_task(zone.change_often()))
+            await asyncio.sleep(since_s)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            return await zone.measure_use(Zone.FOLLOWER, 3 * DRAIN_S)
+
+        assert play(act) <= DRAIN_S
+
+    @pytest.mark.parametrize("since_s", [0.3, 1.0, 1.5, 2.0, 2.4, 3.0, 4.2])
+    def test_relays_that_fail_in_turn_prolong_no_doubt(self, play, since_s):
+        # Guards against a doubt that each new outage of some relay begins anew.
+        async def act(zone):
+            asyncio.get_running_loop().create_task(zone.flap(0, 1))
+            await asyncio.sleep(since_s)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            return await zone.measure_use(Zone.FOLLOWER, 4 * DRAIN_S)
+
+        assert play(act) <= DRAIN_S
+
+    def test_flapping_vm_itself_keeps_no_replica_for_ever(self, play):
+        # Guards against a removal that each new outage of the same VM puts off.
+        async def act(zone):
+            asyncio.get_running_loop().create_task(zone.flap(0))
+            await asyncio.sleep(2.4)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            return await zone.measure_use(0, 60.0)
+
+        assert play(act) <= 3 * DRAIN_S
+
+    @pytest.mark.parametrize("outage_s", [2.5, 6.0, 12.0])
+    def test_entries_that_lapse_in_an_outage_stay_until_they_return(
+        self, play, outage_s
+    ):
+        async def act(zone):
+            zone.store.cut.update(range(3))
+            await asyncio.sleep(outage_s)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            zone.store.cut.clear()
+            watched = [
+                asyncio.create_task(zone.measure_use(number, RETURN_S + 1.0))
+                for number in range(3)
+            ]
+            await asyncio.sleep(RETURN_S)
+            zone.store.put(ReplicaChanged(ENTRY))
+            return [await task for task in watched]
+
+        assert min(play(act)) >= RETURN_S + 1.0
+
+    def test_relay_that_restarts_after_an_outage_confirms_nothing(self, play):
+        async def act(zone):
+            zone.store.cut.update(range(3))
+            await asyncio.sleep(6.0)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            zone.store.cut.clear()
+            await asyncio.sleep(0.6)
+            zone.start(1)
+            watched = asyncio.create_task(zone.measure_use(Zone.FOLLOWER, RETURN_S))
+            await asyncio.sleep(RETURN_S - 0.6)
+            zone.store.put(ReplicaChanged(ENTRY))
+            return await watched
+
+        assert play(act) >= RETURN_S
+
+    def test_entry_that_does_not_return_after_an_outage_is_dropped(self, play):
+        async def act(zone):
+            zone.store.cut.update(range(3))
+            await asyncio.sleep(6.0)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            zone.store.cut.clear()
+            uses = [zone.measure_use(number, 10.0) for number in range(3)]
+            return await asyncio.gather(*uses)
+
+        assert max(play(act)) <= DRAIN_S + 0.5
