Keep the retry budget when processes restart and callers move

What callers saw: nothing.

Cause: each VM kept a sliding window of its own requests and extra arrivals. A restarted process began with an unspent share of the allowance; and what callers' requests had earned at a VM that leaves was spent there, and earned anew where the callers went.

That a fresh process knows one VM too few was ruled out as the main cause: the fourth VM is heard within half a second.

New metric extra_arrivals_refused.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -88,6 +88,13 @@
         )
         return chosen or choose_probe_target(candidates, now, tried)
 
+    def try_spend_retry(self, service: str) -> bool:
+        """Spend one extra arrival of the retry budget; return False if none is left."""
+        if self.budget.try_spend(service, self.now()):
+            return True
+        self.metrics.increment("extra_arrivals_refused", service)
+        return False
+
     def has_limited_replica(self, route: Route, service: str) -> bool:
         """Return whether a replica is passed over because its rate limit is spent."""
         if service not in self.replicas.limited_services:
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -192,14 +192,11 @@
         # a replica, because the retry is then no extra arrival.
         if replica is None:
             return False
-        if not exempt and not self._try_spend(shard):
+        if not exempt and not self._context.try_spend_retry(shard.service):
             return False
         self._send(shard, replica)
         return True
 
-    def _try_spend(self, shard: ShardState) -> bool:
-        return self._context.budget.try_spend(shard.service, self._context.now())
-
     def _choose_any(self, shard: ShardState) -> Replica | None:
         # No untried replica is usable; one that rejected the query may accept it now.
         return self._context.choose_replica(self._route, shard.service, [])
@@ -259,7 +256,7 @@
             replica = self._context.choose_extra_probe(
                 self._route, shard.service, shard.tried
             )
-            if replica and self._try_spend(shard):
+            if replica and self._context.try_spend_retry(shard.service):
                 self._send_probe(shard, replica)
                 probes += 1
 
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -112,7 +112,7 @@
         if self._may_send() and now < self._schedule.end_at:
             replica = context.choose_replica(self._route, self._service, self._tried)
             replica = replica or context.choose_replica(self._route, self._service, [])
-            if replica and (unsent or context.budget.try_spend(self._service, now)):
+            if replica and (unsent or context.try_spend_retry(self._service)):
                 self._log_request("retried", replica.entry.instance)
                 self._send(replica)
                 return
@@ -142,7 +142,7 @@
         if self._result.done() or len(self._pending) != 1 or not self._may_send():
             return
         replica = context.choose_replica(self._route, self._service, self._tried)
-        if replica and context.budget.try_spend(self._service, context.now()):
+        if replica and context.try_spend_retry(self._service):
             context.metrics.increment("hedges", self._route.name)
             self._log_request("hedged", replica.entry.instance)
             self._send(replica)
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -108,7 +108,7 @@
             settings.data_centre,
             self.view,
             self.replicas,
-            RetryBudget(make_budget_limits(settings.bounds), self._count_vms),
+            RetryBudget(make_budget_limits(settings.bounds), self._count_vms, now()),
             RouteLatencies(),
             Metrics(settings.vm, "front"),
             settings.data_centres,
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -53,15 +53,22 @@
         When an instance first named a limit.
     answer_s : float
         Time until a request is answered, in seconds.
+    rejected_share : dict of float
+        Share of the requests that a service's replicas reject, by service.
     """
 
     limits: dict[str, bytes] = field(default_factory=dict)
     arrivals: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     named_at: dict[str, float] = field(default_factory=dict)
     answer_s: float = ANSWER_S
+    rejected_share: dict[str, float] = field(default_factory=dict)
+    random: Random = field(default_factory=lambda: Random(1))
 
     def answer(self, data: bytes) -> Reply:
         instance = _TARGET.search(data)[1].decode()
+        share = self.rejected_share.get(instance.rpartition("-")[0], 0.0)
+        if share and self.random.random() < share:
+            return Reply(503, [(b"x-not-executed", b"shed")], b"")
         headers = [(b"x-response-signature", instance.encode())]
         limit = self.limits.get(instance)
         if limit is not None:
@@ -139,6 +146,7 @@
         self.results: Counter[str] = Counter()
         self.missing_parts = 0
         self.refusal_s: list[float] = []
+        self.requested_at: list[float] = []
         self.phase_at = 0.0
         self.copies = copies
         loop = asyncio.get_running_loop()
@@ -202,7 +210,10 @@
         end_at = loop.time() + seconds
         while loop.time() < end_at:
             await asyncio.sleep(self.random.expovariate(rate))
+            if not self.fronts:
+                continue
             chosen = self.random.choice(sorted(hosts or self.fronts))
+            self.requested_at.append(loop.time())
             loop.create_task(self._request_and_count(self.fronts[chosen], route))
 
     async def request(self, front: Front, route: Route) -> ForwardResult:
