Take no entry with an enormous number or a key that is no name

Cause: whole numbers of an entry were checked for type and sign, not for a range, and are first used as floats in the choice of a replica, which then raised for all replicas of the service. Names from keys were not checked at all: one with a line break put a header of its own into requests, one that is no text made a VM's view impossible to encode for the VMs that read through it, and ended the full read of the store where it was the last key of a page.

Deep nesting (370,000 levels) and impossible ports were refused before, too.

Change: whole numbers of entries and configurations have a range, as have ages in heartbeats; names from keys hold neither control characters nor what is no text, else the item is logged as ignored. The stand-in of the store takes such keys.

--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -24,9 +24,10 @@
 )
 
 AGE_UNIT_S = 0.01  # unit of the ages in a heartbeat
+MAX_AGE_UNITS = 10**10  # three years; bound of an age
 
 Ipv4Integer = Annotated[int, Meta(ge=0, lt=1 << 32)]
-AgeUnits = Annotated[int, Meta(ge=0)]
+AgeUnits = Annotated[int, Meta(ge=0, le=MAX_AGE_UNITS)]
 
 
 class VmState(Enum):
--- a/src/anvilhoist/platform/documents.py
+++ b/src/anvilhoist/platform/documents.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import re
 from typing import Annotated, Literal
 
 import msgspec
@@ -28,7 +29,15 @@
 
 MS_PER_S = 1000.0
 MAX_RECORDS = 1_000_000  # bound of the records in the answer of a gather query
+MAX_SLOTS = 1_000_000  # bound of the requests that a replica runs at once
+MAX_WHOLE_NUMBER = 2**53  # up to this, whole numbers are exact in floating point
 
+WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
+NonNegativeWhole = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+PositiveWhole = Annotated[int, Meta(ge=1, le=MAX_WHOLE_NUMBER)]
+
+# Names that come from keys go into headers and messages as they are.
+_NAME = re.compile(r"[^\x00-\x1f\x7f\ud800-\udfff]+")
 
 # What decoding of a value that another writer left may raise.
 UNREADABLE_ERRORS = (
@@ -57,8 +66,8 @@
     # Despite its name, it says only whether a request may run more than once.
     route_type: str = "non_idempotent"
     target_latency_ms: NonNegative | None = None
-    max_attempts: Annotated[int, Meta(ge=1)] = 1
-    priority: int = 0
+    max_attempts: PositiveWhole = 1
+    priority: WholeNumber = 0
     backend: str | None = None
     traffic_split: list[_WeightedBackend] | None = None
     gather: list[str] | None = None
@@ -69,19 +78,19 @@
 
 class _Service(_WireStruct):
     name: str
-    max_connections: int = 1024
+    max_connections: WholeNumber = 1024
     warmup_per_s: NonNegative = 0.0
 
 
 class _Limits(_WireStruct):
-    max_header_bytes: Annotated[int, Meta(gt=0)] = 16384
-    max_body_bytes: Annotated[int, Meta(ge=0)] = 262144
+    max_header_bytes: PositiveWhole = 16384
+    max_body_bytes: NonNegativeWhole = 262144
     header_timeout_ms: Positive = 3000
     idle_timeout_ms: Positive = 15000
 
 
 class _Configuration(_WireStruct):
-    version: Annotated[int, Meta(ge=0)]
+    version: NonNegativeWhole
     routes: list[_Route]
     backends: list[_Service] = []
     limits: _Limits = _Limits()
@@ -91,13 +100,13 @@
     backend: Annotated[str, Meta(min_length=1)]
     address: Address
     zone: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Time for which the replica is still cold, not the time since its start.
     warmup_left_ms: Finite = 0.0
-    sequence: int = 0
+    sequence: WholeNumber = 0
     # Wall-clock time of this start in ms; tells incarnations of an instance id apart.
-    born: Annotated[int, Meta(ge=0)] = 0
+    born: NonNegativeWhole = 0
 
 
 def decode_item(key: str, value: object) -> Change | None:
@@ -117,12 +126,12 @@
         configuration that is not valid, so that the last valid one stays in force,
         and for keys that the tier does not use.
     """
-    if key.startswith(names.REPLICA_KEY_PREFIX):
-        return _decode_replica(key.removeprefix(names.REPLICA_KEY_PREFIX), value)
-    if key.startswith(names.DATA_CENTRE_OUT_KEY_PREFIX):
-        return DataCentreChanged(
-            key.removeprefix(names.DATA_CENTRE_OUT_KEY_PREFIX), True
-        )
+    instance = _read_name(key, names.REPLICA_KEY_PREFIX)
+    if instance is not None:
+        return _decode_replica(instance, value)
+    data_centre = _read_name(key, names.DATA_CENTRE_OUT_KEY_PREFIX)
+    if data_centre is not None:
+        return DataCentreChanged(data_centre, True)
     if key == names.CONFIGURATION_KEY:
         return _decode_configuration(value)
     return None
@@ -134,12 +143,23 @@
     Return None for any other key than a replica's or a data centre's: a configuration
     that is removed stays in force.
     """
-    if key.startswith(names.REPLICA_KEY_PREFIX):
-        return ReplicaRemoved(key.removeprefix(names.REPLICA_KEY_PREFIX))
-    if key.startswith(names.DATA_CENTRE_OUT_KEY_PREFIX):
-        return DataCentreChanged(
-            key.removeprefix(names.DATA_CENTRE_OUT_KEY_PREFIX), False
-        )
+    instance = _read_name(key, names.REPLICA_KEY_PREFIX)
+    if instance is not None:
+        return ReplicaRemoved(instance)
+    data_centre = _read_name(key, names.DATA_CENTRE_OUT_KEY_PREFIX)
+    if data_centre is not None:
+        return DataCentreChanged(data_centre, False)
+    return None
+
+
+def _read_name(key: str, prefix: str) -> str | None:
+    """Return the name after the prefix of a key, or None if it has none to use."""
+    if not key.startswith(prefix):
+        return None
+    name = key.removeprefix(prefix)
+    if _NAME.fullmatch(name):
+        return name
+    structlog.get_logger().warning("item_ignored", problem=f"key {key!r}"[:80])
     return None
 
 
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -170,7 +170,8 @@
         if self._connection is None or not self._connection.reusable:
             self.close()
             self._connection = await open_connection(self.address, CONNECT_TIMEOUT_S)
-        target = f"{path}?{urlencode(query)}".encode()
+        # A key of another writer may hold what is no text.
+        target = f"{path}?{urlencode(query, errors='surrogatepass')}".encode()
         data = encode_request(b"GET", target, [(b"host", self.address.encode())], b"")
         return await send_request(self._connection, data)
 
--- a/src/anvilhoist/site/site.py
+++ b/src/anvilhoist/site/site.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlencode
 
 import aiohttp
 import tomli_w
@@ -274,14 +275,12 @@
 
     async def put_store_item(self, key: str, value: bytes) -> None:
         """Write an item to the store."""
-        await self._post(f"http://{self.store_address}/control/put?key={key}", value)
+        await self.send_store_command("put", value, key=key)
 
-    async def send_store_command(self, command: str, **query: str) -> bytes:
+    async def send_store_command(self, command: str, body=b"", **query: str) -> bytes:
         """Send the store a control command and return the body of its response."""
-        query_string = "&".join(f"{key}={value}" for key, value in query.items())
-        return await self._post(
-            f"http://{self.store_address}/control/{command}?{query_string}", b""
-        )
+        path = f"/control/{command}?{urlencode(query)}"
+        return await self._post(f"http://{self.store_address}{path}", body)
 
     async def send_replicas_command(self, command: str, **fields: Any) -> bytes:
         """Send the replicas' process a command and return the body of its response."""
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import math
+from dataclasses import replace
 from random import Random
 
 import cbor2
@@ -29,6 +30,7 @@
     decode_view,
     encode_heartbeat,
     encode_view,
+    pack_change,
 )
 from anvilhoist.platform.documents import decode_item, decode_removal
 from anvilhoist.platform.edge import (
@@ -40,9 +42,11 @@
 )
 from anvilhoist.platform.publish import encode_replica, replica_key
 from anvilhoist.platform.store import StoreClient
+from anvilhoist.upstreams.choice import estimate_cost
 from anvilhoist.upstreams.registry import ReplicaRegistry
 from anvilhoist.world.model import ReplicaChanged, ReplicaEntry, Snapshot
 from anvilhoist.world.source import ChangeBatch
+from anvilhoist.world.view import View
 from conftest import WORKER
 
 _ports = itertools.count(24300)
@@ -79,14 +83,14 @@
 )
 
 
-def run_client(body: bytes, call):
-    """Return the outcome of a call of a client whose store answers with `body`."""
+def run_client(answer, call):
+    """Return the outcome of a call; the store answers with these bytes or function."""
 
-    async def answer(request: Request) -> Response:
-        return Response(200, [], body)
+    async def answer_bytes(request: Request) -> Response:
+        return Response(200, [], answer)
 
     async def run():
-        server = HttpServer("store", answer)
+        server = HttpServer("store", answer if callable(answer) else answer_bytes)
         address = f"127.{221 + WORKER}.0.1:{next(_ports)}"
         await server.listen(address)
         client = StoreClient(address)
@@ -99,6 +103,17 @@
     return asyncio.run(run())
 
 
+def run_client_of_pages(pages: list[dict], call):
+    """Return the outcome of a call; the store's answers are these, the last forever."""
+    left = list(pages)
+
+    async def answer(request: Request) -> Response:
+        page = left.pop(0) if len(left) > 1 else left[0]
+        return Response(200, [], json.dumps(page).encode())
+
+    return run_client(answer, call)
+
+
 def list_entries(found: ChangeBatch | Snapshot) -> list[ReplicaEntry]:
     return [c.entry for c in found.changes if isinstance(c, ReplicaChanged)]
 
@@ -184,6 +199,114 @@
         assert decode_item("op/config", base64.b64encode(document).decode()) is None
 
 
+class TestOddEntries:
+    """One entry that another writer left among those of the replicas."""
+
+    DOCUMENT = encode_replica(ENTRY).decode()
+
+    @classmethod
+    def make_document(cls, field: str, text: str) -> bytes:
+        """Return the document of an entry with a field whose value is this text."""
+        document = {**json.loads(cls.DOCUMENT), field: "@"}
+        return json.dumps(document).replace('"@"', text).encode()
+
+    @staticmethod
+    def decode(document: bytes, key: str = "i-odd"):
+        return decode_item(replica_key(key), base64.b64encode(document).decode())
+
+    @pytest.mark.parametrize(
+        ("field", "text"),
+        [
+            ("slots", "9" * 309),
+            ("slots", "9" * 19),
+            ("slots", "9" * 4301),
+            ("slots", "-1"),
+            ("slots", "1e400"),
+            ("born", "9" * 309),
+            ("born", "9" * 4301),
+            ("sequence", "9" * 309),
+            ("warmup-left-ms", "1e308"),
+            ("warmup-left-ms", "9" * 400),
+            ("address", '"10.0.0.1:65536"'),
+            ("address", '"10.0.0.1:99999999999999999999"'),
+            ("address", '"10.0.0.1:-1"'),
+            ("slots", "[" * 100_000 + "]" * 100_000),
+            ("more", "[" * 100_000 + "]" * 100_000),
+            ("more", '{"a":' * 100_000),
+        ],
+        ids=lambda text: text[:16],
+    )
+    def test_names_no_replica(self, field, text):
+        # Guards against a number that makes every choice in its service fail.
+        assert not isinstance(
+            self.decode(self.make_document(field, text)), ReplicaChanged
+        )
+
+    @pytest.mark.parametrize("opening", ["[", '{"a":'])
+    def test_nesting_of_a_whole_document_is_refused(self, opening):
+        found = self.decode((opening * 150_000).encode())
+        assert not isinstance(found, ReplicaChanged)
+
+    @pytest.mark.parametrize(
+        "name", ["", "i\r\nx-other: 1", "i\x00", "i\x7f", "\ud800", "i-\udfff"]
+    )
+    def test_key_that_fits_no_header_or_message_names_nothing(self, name):
+        # Guards against headers and messages that such a name would break.
+        value = base64.b64encode(self.DOCUMENT.encode()).decode()
+        for key in (replica_key(name), f"op/evacuate/{name}"):
+            assert decode_item(key, value) is None
+            assert decode_removal(key) is None
+
+    def test_page_whose_last_key_is_no_text_is_read_on(self):
+        # Guards against a full read that ends at such a key.
+        odd = {"key": "servers/\ud800", "value": "AA=="}
+        pages = [
+            {"at": 9, "items": [odd], "has-more": True},
+            {"at": 9, "items": [ITEM], "events": []},
+        ]
+
+        async def read(client):
+            return await client.read_all()
+
+        found = run_client_of_pages(pages, read)
+        assert list_entries(found) == [ENTRY]
+
+    def test_change_that_fails_keeps_no_other_from_being_applied(self):
+        # Guards against one change that stops all that follow it.
+        def refuse_odd(instance, entry):
+            if instance == "i-odd":
+                raise OverflowError("int too large to convert to float")
+
+        view = View(lambda: 0.0, refuse_odd)
+        odd = replace(ENTRY, instance="i-odd")
+        other = replace(ENTRY, instance="i-2")
+        for revision in (5, 6):
+            changes = [ReplicaChanged(ENTRY), ReplicaChanged(odd)]
+            view.apply(revision, [*changes, ReplicaChanged(other)])
+            view.replace(Snapshot(revision, [*changes, ReplicaChanged(other)]))
+        assert view.revision == 6
+        assert {"i-1", "i-2"} <= set(view.entries)
+
+    @given(
+        st.sampled_from(sorted(json.loads(encode_replica(ENTRY)))),
+        trees | st.integers().map(lambda n: n * 10**300),
+    )
+    def test_entry_that_is_taken_can_be_rated_and_passed_on(self, field, value):
+        document = {**json.loads(self.DOCUMENT), field: value}
+        change = self.decode(json.dumps(document, default=repr).encode())
+        if not isinstance(change, ReplicaChanged):
+            return
+        registry = ReplicaRegistry(
+            lambda: 0.0, lambda _: None, lambda: 4, lambda _: True
+        )
+        view = View(lambda: 0.0, registry.update)
+        view.apply(1, [change])
+        for replica in registry.by_instance.values():
+            assert math.isfinite(estimate_cost(replica, "vaxjo", 0.0))
+        changes = tuple(map(pack_change, view.take_snapshot().changes))
+        assert decode_view(encode_view(ViewMessage(1, changes, 0.0))) is not None
+
+
 class TestHeartbeats:
     def make_members(self) -> Members:
         return Members("10.0.0.1", (), lambda: 100.0, "vaxjo")
@@ -198,6 +321,7 @@
             ("callers_address", "10.0.0.2:99999"),
             ("peers_address", "nowhere:82"),
             ("heard", {1: -1}),
+            ("heard", {1: 10**400}),
             ("heard", {1 << 40: 1}),
             ("revision", "x"),
             ("state", "gone"),
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -13,6 +13,7 @@
 from anvilhoist.clock import read_boottime
 from anvilhoist.peers.members import rank_hosts
 from anvilhoist.peers.relays import RANKING_KEY, STORE_READERS
+from anvilhoist.platform.publish import encode_replica
 from anvilhoist.site.invariants import TrafficCutoff, find_violations
 from anvilhoist.site.load import LoadGenerator
 from anvilhoist.site.replicas import RATE_LIMIT_PER_S
@@ -324,6 +325,36 @@
         assert not violations
         assert compute_success_rate(results) == 1.0
 
+    def test_odd_entry_stops_neither_requests_nor_later_changes(self):
+        # Guards against one entry of another writer that fails a whole service.
+        async def action(site, load):
+            entry = next(e for e in site.entries.values() if e.service == SHARDS[0])
+            good = json.loads(encode_replica(entry))
+            odd = {
+                "i-nested": '{"backend":' * 20_000,
+                "i-inside": json.dumps(good)[:-1] + ',"x":' + "[" * 20_000,
+                "i-slots": json.dumps({**good, "slots": 10**309}),
+                "i-born": json.dumps({**good, "born": 10**309}),
+                "i-port": json.dumps({**good, "address": "10.0.0.1:65536"}),
+                "i-\r\nx-more: 1": json.dumps(good),
+                "i-\x00": json.dumps(good),
+            }
+            for name, document in odd.items():
+                await site.put_store_item(f"servers/{name}", document.encode())
+            await asyncio.sleep(1.0)
+            await site.publish_configuration()
+            await site.drain(entry.instance)
+            return [TrafficCutoff(entry.instance, read_boottime() + CUTOFF_DELAY_S)]
+
+        results, site, violations = run_under_load(action, seconds=CUTOFF_DELAY_S + 0.5)
+        assert not violations
+        assert compute_success_rate(results) == 1.0
+        assert set(site.exit_codes) == {0}
+        version = f'"version":{site.configuration_version},'
+        for vm in site.fleet:
+            assert version in site.read_log(vm.name)
+            assert "task_failed" not in site.read_log(vm.name)
+
     def test_malformed_entries_and_configuration(self):
         async def action(site, load):
             await site.put_store_item("servers/i-odd", b"\xff\xfe")
