Skip a change that can't be applied, and apply those after it

What callers saw: nothing so far; no change is known that can't be applied. One would have kept a VM from following anything published after it: replicas that leave, configurations.

Change: each change is applied on its own; one that raises is logged as change_failed with its trace and skipped, and the revision goes on.

Result: TestOddEntries::test_change_that_fails_keeps_no_other_from_being_applied failed on the code before (OverflowError), passes.

--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -208,7 +209,7 @@
     def _apply_all(self, revision: int, changes: list[Change]) -> None:
         before = self.configuration
         for change in changes:
-            self._apply_change(change, revision)
+            self._try_apply(change, revision)
         self.revision = revision
         if self.configuration is not before:
             self.on_configuration_changed()
@@ -217,6 +218,18 @@
         synced_at = self.now() - age_s
         self.synced_at = max(synced_at, self.synced_at or synced_at)
 
+    def _try_apply(self, change: Change, revision: int) -> None:
+        """Apply a change, or log why it can't be applied; the others must follow."""
+        try:
+            self._apply_change(change, revision)
+        except Exception:
+            structlog.get_logger().error(
+                "change_failed",
+                change=repr(change)[:200],
+                revision=revision,
+                trace=traceback.format_exc(),
+            )
+
     def _apply_change(self, change: Change, revision: int) -> None:
         match change:
             case ConfigurationChanged(configuration):
