Quarantine requests under which replicas end, and tell other VMs

What callers saw: one request that crashes each replica that runs it took down all replicas of all shards for three seconds, again and again; callers of other requests got 504 or answers without shards.

Cause: a lost connection was taken for a failure of the replica alone. The request went to the next replica, was hedged, came again through other VMs, and nothing was kept of it.

Queries that met refused connections ended none.

Change: a connection that is lost without a byte of an answer, and a replica that then refuses a connection, make each request that was open there a suspect; an answer clears it. Until a query has an answer, one send beyond the first ones may be open. A suspect goes to one replica first. The report of a query's end is a module of its own.

--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -29,6 +29,7 @@
     OUT_OF_SERVICE = "out_of_service"
     CONNECT_FAILED = "connect_failed"
     UPSTREAM_FAILED = "upstream_failed"
+    CONNECTION_LOST = "connection_lost"
     UPSTREAM_REJECTED = "upstream_rejected"
     DEADLINE = "deadline"
     PEER_LOST = "peer_lost"
@@ -46,6 +47,7 @@
     NO_REPLICA = "no_replica"
     REPLICAS_LIMITED = "replicas_limited"
     STOPPING = "stopping"
+    QUARANTINED = "quarantined"
     TOO_FEW_SHARDS = "too_few_shards"
 
 
@@ -78,6 +80,7 @@
     ErrorKind.OUT_OF_SERVICE: ErrorResponse(503, Executed.NO),
     ErrorKind.CONNECT_FAILED: ErrorResponse(502, Executed.NO),
     ErrorKind.UPSTREAM_FAILED: ErrorResponse(502, Executed.UNKNOWN),
+    ErrorKind.CONNECTION_LOST: ErrorResponse(502, Executed.UNKNOWN),
     ErrorKind.UPSTREAM_REJECTED: ErrorResponse(422, Executed.YES),
     ErrorKind.DEADLINE: ErrorResponse(504, Executed.UNKNOWN),
     ErrorKind.PEER_LOST: ErrorResponse(502, Executed.UNKNOWN),
@@ -95,6 +98,7 @@
     ErrorKind.NO_REPLICA: ErrorResponse(503, Executed.NO),
     ErrorKind.REPLICAS_LIMITED: ErrorResponse(503, Executed.NO),
     ErrorKind.STOPPING: ErrorResponse(503, Executed.NO),
+    ErrorKind.QUARANTINED: ErrorResponse(503, Executed.NO),
     ErrorKind.TOO_FEW_SHARDS: ErrorResponse(504, Executed.UNKNOWN),
 }
 
--- a/src/anvilhoist/forward/call.py
+++ b/src/anvilhoist/forward/call.py
@@ -2,10 +2,27 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ..http.messages import Request
+from ..upstreams.suspects import compute_request_key
+
+
+@dataclass(slots=True)
+class CallProgress:
+    """What has happened to a call so far.
+
+    Attributes
+    ----------
+    survived : bool
+        Whether a replica has executed the request and answered.
+    key : int or None
+        Digest of the request, once it was needed.
+    """
+
+    survived: bool = False
+    key: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,18 +39,31 @@
         Host that the caller named, without a port.
     deadline : float
         Time on the clock of the process until which the caller waits, in seconds.
+    progress : CallProgress
+        What has happened to it so far.
     """
 
     request: Request
     attempt_id: bytes
     host: str
     deadline: float
+    progress: CallProgress = field(default_factory=CallProgress, compare=False)
 
     @property
     def attempt_id_text(self) -> str:
         """Attempt id as text, for the logs."""
         return self.attempt_id.decode("latin-1")
 
+    @property
+    def key(self) -> int:
+        """Digest of the request that other attempts of it have, too."""
+        if self.progress.key is None:
+            request = self.request
+            self.progress.key = compute_request_key(
+                request.method, self.host, request.target, request.body
+            )
+        return self.progress.key
+
 
 class Verdict(Enum):
     """What a replica's response means for the request.
--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from ..errors import ErrorKind
 from ..http.exchange import Outcome, Reply
 from ..http.messages import Headers
 from ..metrics import Metrics
@@ -25,6 +26,7 @@
 from ..upstreams.latency import RouteLatencies
 from ..upstreams.registry import ReplicaRegistry
 from ..upstreams.replica import Exchange, Replica
+from ..upstreams.suspects import SuspectList, Suspicion, format_key
 from ..world.model import Route
 from ..world.view import View
 from .call import NOT_EXECUTED_VERDICTS, Call, Verdict
@@ -61,6 +63,16 @@
     region_by_data_centre: dict[str, str] = field(default_factory=dict)
     random: Random = field(default_factory=Random)
     serves_until: float = math.inf
+    suspects: SuspectList = field(init=False)
+
+    def __post_init__(self):
+        self.suspects = SuspectList(self.now)
+
+    def judge(self, call: Call) -> Suspicion:
+        """Return what may be done with a call, by the replicas that ended under it."""
+        if not len(self.suspects):
+            return Suspicion.NONE
+        return self.suspects.judge(call.key)
 
     def choose_replica(
         self, route: Route, service: str, tried: list[str]
@@ -141,6 +153,10 @@
             if isinstance(outcome, Reply):
                 verdict = classify_reply(outcome, call)
                 self._record_reply(replica, exchange, outcome, verdict)
+                if verdict not in NOT_EXECUTED_VERDICTS:
+                    self._note_survival(call)
+            elif outcome.kind is ErrorKind.CONNECTION_LOST:
+                self._check_end(replica, call, exchange)
             on_outcome(exchange, outcome, verdict)
 
         matches = make_response_matcher(call)
@@ -174,6 +190,32 @@
     def _is_in_region(self, replica: Replica, regions: tuple[str, ...]) -> bool:
         return self.region_by_data_centre.get(replica.entry.data_centre) in regions
 
+    def _note_survival(self, call: Call) -> None:
+        if call.progress.survived:
+            return
+        call.progress.survived = True
+        self.suspects.record_answer(call.key)
+
+    def _check_end(self, replica: Replica, call: Call, exchange: Exchange) -> None:
+        """Suspect a call if the replica has ended under it and no other answers."""
+        lost_at = self.now()
+
+        def suspect() -> None:
+            structlog.get_logger().warning(
+                "replica_ended",
+                replica=replica.entry.instance,
+                service=replica.entry.service,
+                request=call.attempt_id_text,
+                key=format_key(call.key),
+                target=call.request.target.decode("latin-1")[:80],
+                open_ms=round((lost_at - exchange.sent_at) * 1000, 1),
+                survived=call.progress.survived,
+            )
+            if not call.progress.survived:
+                self.suspects.record_end(call.key, exchange.sent_at, lost_at)
+
+        replica.check_end(suspect)
+
     def _record_reply(
         self, replica: Replica, exchange: Exchange, reply: Reply, verdict: Verdict
     ) -> None:
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -4,18 +4,20 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
-import structlog
-
-from ..errors import ErrorKind, Failure
+from ..errors import ErrorKind
 from ..http.exchange import Outcome
 from ..platform.edge import read_digest
 from ..upstreams.replica import Exchange, Replica
+from ..upstreams.suspects import Suspicion
 from ..world.model import Gather, Route
-from .call import NOT_EXECUTED_VERDICTS, Call, Verdict
+from .call import Call, Verdict
 from .context import Context
+from .gate import SendGate
 from .merge import merge_records
 from .plan import plan_call
+from .query_report import QueryReport, report_query
 from .refusal import refuse
 from .result import GatherResult, Refusal
 from .shard import ShardState
@@ -43,6 +45,7 @@
         self._unresolved_count = len(self._shards)
         self._hedges = 0
         self._retries = 0
+        self._gate = SendGate()
         self._timers: list[asyncio.TimerHandle] = []
         # The run keeps to this version's shards even if the configuration changes.
         self._version = context.view.configuration.version
@@ -72,13 +75,18 @@
                 self._context, self._call, self._route, kind, reachable, limited
             )
         self._start_timers()
+        is_suspect = self._context.judge(self._call) is Suspicion.SUSPECTED
         try:
             for shard, replica in zip(self._shards, replicas, strict=True):
                 if replica is None:
                     self._abandon_shard(shard)
+                elif is_suspect:
+                    self._gate.hold(partial(self._send_first, shard))
                 else:
                     self._send(shard, replica)
-            self._send_extra_probes()
+            self._send_held()
+            if not is_suspect:
+                self._send_extra_probes()
             return await self._result
         except asyncio.CancelledError:
             self._report_outcome("cancelled", "caller disconnected")
@@ -94,18 +102,41 @@
             shard.limited = True
         return context.choose_replica(self._route, shard.service, shard.tried)
 
-    def _send(self, shard: ShardState, replica: Replica) -> None:
+    def _send_first(self, shard: ShardState) -> None:
+        replica = self._choose_untried(shard)
+        if replica is None:
+            self._abandon_shard(shard)
+            return
+        self._send(shard, replica, risked=True)
+
+    def _send(self, shard: ShardState, replica: Replica, risked: bool = False) -> None:
+        """Send to a replica; `risked` if none may have survived the query so far."""
+
         def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
             shard.pending.pop(exchange, None)
+            self._gate.record_outcome(exchange, outcome, verdict)
+            if self._gate.is_fatal:
+                self._finish()
             self._on_outcome(shard, exchange, outcome, verdict)
+            self._send_held()
 
-        shard.pending[self._start_exchange(shard, replica, on_outcome)] = replica
+        exchange = self._start_exchange(shard, replica, on_outcome)
+        shard.pending[exchange] = replica
+        if risked:
+            self._gate.watch(exchange)
+
+    def _send_held(self) -> None:
+        while not self._result.done():
+            send = self._gate.take_admitted()
+            if send is None:
+                return
+            send()
 
     def _send_probe(self, shard: ShardState, replica: Replica) -> None:
         def on_outcome(exchange: Exchange, outcome: Outcome, verdict: Verdict) -> None:
             shard.probe = None
             if verdict is not Verdict.SUCCEEDED:
-                self._uncount_unexecuted(shard, outcome, verdict)
+                shard.uncount_unexecuted(outcome, verdict)
             elif not shard.abandoned:
                 self._on_outcome(shard, exchange, outcome, verdict)
 
@@ -142,21 +173,9 @@
             self._answered_count += 1
             self._resolve_shard(shard)
             return
-        unsent = self._uncount_unexecuted(shard, outcome, verdict)
+        unsent = shard.uncount_unexecuted(outcome, verdict)
         self._schedule_retry(shard, now, unsent)
 
-    @staticmethod
-    def _uncount_unexecuted(
-        shard: ShardState, outcome: Outcome, verdict: Verdict
-    ) -> bool:
-        """Take back an attempt that no replica executed; return if none was reached."""
-        unsent = (
-            isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECT_FAILED
-        )
-        if unsent or verdict in NOT_EXECUTED_VERDICTS:
-            shard.attempts -= 1
-        return unsent
-
     def _is_new_digest(self, digest: bytes) -> bool:
         """Return whether no part with this digest has been received yet."""
         return all(shard.digest != digest for shard in self._shards)
@@ -178,6 +197,9 @@
         now = self._context.now()
         if self._result.done() or shard.abandoned or shard.digest is not None:
             return
+        if self._gate.lost and not self._gate.admits():
+            self._gate.hold(partial(self._send_retry, shard, unsent))
+            return
         if self._may_send(shard) and now < self._schedule.end_at:
             replica = self._choose_untried(shard) or self._choose_any(shard)
             if self._send_within_budget(shard, replica, exempt=unsent):
@@ -194,7 +216,7 @@
             return False
         if not exempt and not self._context.try_spend_retry(shard.service):
             return False
-        self._send(shard, replica)
+        self._send(shard, replica, risked=True)
         return True
 
     def _choose_any(self, shard: ShardState) -> Replica | None:
@@ -267,6 +289,8 @@
                 continue
             if not self._may_send(shard):
                 continue
+            if not self._gate.admits():
+                return
             if self._send_within_budget(
                 shard, self._choose_untried(shard), exempt=False
             ):
@@ -307,30 +331,15 @@
                 shard.probe.cancel()
 
     def _report_outcome(self, outcome: str, why: str) -> None:
-        context = self._context
-        now = context.now()
-        missing = self._list_missing()
-        duration_s = now - self._call.request.arrived_at
-        context.metrics.record_duration("gather", self._route.name, duration_s)
-        context.metrics.increment("missing_shards", self._route.name, len(missing))
-        context.metrics.increment("hedges", self._route.name, self._hedges)
-        structlog.get_logger().info(
-            "query",
-            request=self._call.attempt_id_text,
-            route=self._route.name,
-            version=self._version,
-            outcome=outcome,
-            why=why,
-            ms=round(duration_s * 1000, 1),
-            left_ms=round((self._call.deadline - now) * 1000),
-            shards_in=self._answered_count,
-            missing=missing,
-            limited=[shard.service for shard in self._shards if shard.limited],
-            tried={shard.service: shard.tried for shard in self._shards},
-            round_trip_ms=round(self._plan.round_trip_s * 1000, 2),
-            hedges=self._hedges,
-            retries=self._retries,
-            hedge_ms=round(
-                (self._schedule.hedge_at - self._call.request.arrived_at) * 1000, 1
-            ),
+        report = QueryReport(
+            outcome,
+            why,
+            self._version,
+            self._list_missing(),
+            self._answered_count,
+            self._hedges,
+            self._retries,
+        )
+        report_query(
+            self._context, self._call, self._route, self._plan, self._shards, report
         )
--- a/src/anvilhoist/forward/handler.py
+++ b/src/anvilhoist/forward/handler.py
@@ -12,6 +12,7 @@
     encode_gather_response,
     parse_call,
 )
+from ..upstreams.suspects import Suspicion
 from ..world.model import Route
 from .call import Call
 from .context import Context
@@ -49,6 +50,15 @@
         """Run a call on a route and return its result."""
         context = self.context
         context.metrics.increment("requests", route.name)
+        if context.judge(call) is Suspicion.QUARANTINED:
+            retry_after_s = context.suspects.compute_quarantine_left(call.key)
+            return refuse(
+                context,
+                call,
+                route,
+                ErrorKind.QUARANTINED,
+                retry_after_s=retry_after_s,
+            )
         if not self._can_complete(route):
             return refuse(context, call, route, ErrorKind.STOPPING)
         if route.gather is not None:
--- a/src/anvilhoist/forward/refusal.py
+++ b/src/anvilhoist/forward/refusal.py
@@ -46,6 +46,7 @@
     kind: ErrorKind,
     found: int = 0,
     limited: Sequence[str] = (),
+    retry_after_s: float | None = None,
 ) -> Refusal:
     """Log and count why a call ends without a result, and return its refusal.
 
@@ -64,10 +65,14 @@
         answered.
     limited : sequence of str
         Services without a usable replica because of the rate limits that theirs name.
+    retry_after_s : float or None
+        Delay before the caller may retry, in seconds, if it is known; None to derive it
+        from the kind.
     """
     view = context.view
     now = context.now()
-    retry_after_s = compute_retry_after(kind, call.deadline - now)
+    if retry_after_s is None:
+        retry_after_s = compute_retry_after(kind, call.deadline - now)
     context.metrics.increment("refused", kind.value)
     structlog.get_logger().info(
         "refused",
--- a/src/anvilhoist/forward/shard.py
+++ b/src/anvilhoist/forward/shard.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass, field
 
+from ..errors import ErrorKind, Failure
+from ..http.exchange import Outcome
 from ..upstreams.replica import Exchange, Replica
+from .call import NOT_EXECUTED_VERDICTS, Verdict
 
 
 @dataclass(slots=True)
@@ -44,3 +47,12 @@
     body: bytes = b""
     abandoned: bool = False
     limited: bool = False
+
+    def uncount_unexecuted(self, outcome: Outcome, verdict: Verdict) -> bool:
+        """Take back an attempt that no replica executed; return if none was reached."""
+        unsent = (
+            isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECT_FAILED
+        )
+        if unsent or verdict in NOT_EXECUTED_VERDICTS:
+            self.attempts -= 1
+        return unsent
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -9,6 +9,7 @@
 from ..errors import ErrorKind, Failure
 from ..http.exchange import Outcome, Reply
 from ..upstreams.replica import Exchange, Replica
+from ..upstreams.suspects import Suspicion
 from ..world.model import Route
 from .call import NOT_EXECUTED_VERDICTS, Call, Verdict
 from .context import Context
@@ -39,6 +40,7 @@
         self._sends = 0
         self._error_reply: Reply | None = None
         self._last_failure: Failure | None = None
+        self._is_suspect = context.judge(call) is Suspicion.SUSPECTED
         self._timers: list[asyncio.TimerHandle] = []
         self._result: asyncio.Future[Reply | Refusal] = (
             asyncio.get_running_loop().create_future()
@@ -57,7 +59,7 @@
         self._timers.append(
             loop.call_later(end_s, self._finish_without_success, ErrorKind.DEADLINE)
         )
-        if self._route.repeatable:
+        if self._route.repeatable and not self._is_suspect:
             hedge_s = max(0.0, self._schedule.hedge_at - now)
             self._timers.append(loop.call_later(hedge_s, self._send_hedge))
         try:
@@ -103,6 +105,9 @@
             self._error_reply = outcome
         if isinstance(outcome, Failure):
             self._last_failure = outcome
+            if self._is_suspect and outcome.kind is ErrorKind.CONNECTION_LOST:
+                self._finish_without_success(ErrorKind.UPSTREAM_FAILED)
+                return
         if not self._pending:
             self._retry(unsent)
 
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -25,10 +25,11 @@
 from ..peers.heartbeats import HEARTBEAT_PERIOD_S, HeartbeatEndpoint
 from ..peers.limits import apply_limit_reports, collect_limit_reports
 from ..peers.members import Members
-from ..peers.messages import Heartbeat, LimitReport, VmState
+from ..peers.messages import Heartbeat, LimitReport, SuspectReport, VmState
 from ..peers.reading import RELAY_INDEXES, PeerReader
 from ..peers.relays import STORE_READERS
 from ..peers.senders import SenderOrder
+from ..peers.suspects import apply_suspect_reports, collect_suspect_reports
 from ..platform.edge import (
     encode_addresses,
     encode_error_response,
@@ -124,7 +125,9 @@
             self.make_heartbeat,
             self.context.random,
             self._apply_limits,
+            self._apply_suspects,
         )
+        self.context.suspects.on_worse = self._heartbeat_endpoint.send
         self._directory = AddressDirectory(self.members, self.context.random)
         self.store_client = StoreClient(settings.store)
 
@@ -235,6 +238,7 @@
         for server in (self.caller_server, *self._other_servers):
             timers.subscribe(CHECK_INTERVAL_S, server.enforce_timeouts)
         timers.subscribe(SUMMARY_INTERVAL_S, partial(log_summary, self))
+        timers.subscribe(SUMMARY_INTERVAL_S, self.context.suspects.expire)
 
     def _mark_ready(self) -> None:
         if self.state is VmState.STARTING:
@@ -289,11 +293,15 @@
             self.members.sample_liveness_ages(self.context.random),
             asks,
             collect_limit_reports(self.replicas, read_boottime(), self.context.random),
+            collect_suspect_reports(self.context.suspects, read_boottime()),
         )
 
     def _apply_limits(self, reports: tuple[LimitReport, ...]) -> None:
         apply_limit_reports(self.replicas, reports, read_boottime())
 
+    def _apply_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        apply_suspect_reports(self.context.suspects, reports, read_boottime())
+
     def _find_service(self, name: str) -> Service | None:
         configuration = self.view.configuration
         return configuration.services.get(name) if configuration else None
--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -170,9 +170,10 @@
         self._close_reason = (
             self._close_reason or f"connection lost before a complete response: {exc}"
         )
-        self._outcome = self._outcome or Failure(
-            ErrorKind.UPSTREAM_FAILED, self._close_reason
-        )
+        kind = ErrorKind.UPSTREAM_FAILED
+        if not self._framing_bytes:
+            kind = ErrorKind.CONNECTION_LOST
+        self._outcome = self._outcome or Failure(kind, self._close_reason)
         self._deliver_outcome()
         self._on_closed(self)
 
--- a/src/anvilhoist/peers/heartbeats.py
+++ b/src/anvilhoist/peers/heartbeats.py
@@ -14,6 +14,7 @@
 from .messages import (
     Heartbeat,
     LimitReport,
+    SuspectReport,
     VmState,
     decode_heartbeat,
     encode_heartbeat,
@@ -23,6 +24,7 @@
 
 MakeHeartbeat = Callable[[bool], Heartbeat]
 ApplyLimits = Callable[[tuple[LimitReport, ...]], None]
+ApplySuspects = Callable[[tuple[SuspectReport, ...]], None]
 
 
 class HeartbeatEndpoint(asyncio.DatagramProtocol):
@@ -41,6 +43,8 @@
         Selects the receivers.
     apply_limits : callable
         Records the rate limits that another VM reports.
+    apply_suspects : callable
+        Records the requests under which replicas ended at another VM.
     """
 
     def __init__(
@@ -50,12 +54,14 @@
         make_heartbeat: MakeHeartbeat,
         random: Random,
         apply_limits: ApplyLimits = lambda limits: None,
+        apply_suspects: ApplySuspects = lambda suspects: None,
     ):
         self._members = members
         self._port = port
         self._make_heartbeat = make_heartbeat
         self._random = random
         self._apply_limits = apply_limits
+        self._apply_suspects = apply_suspects
         self._transport: asyncio.DatagramTransport | None = None
         self._announced_state: VmState | None = None
         self._announce_until = 0.0
@@ -81,6 +87,7 @@
             return
         self._members.record(found)
         self._apply_limits(found.limits)
+        self._apply_suspects(found.suspects)
         if found.asks:
             self._send_to((found.host,), self._make_heartbeat(False))
 
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -12,6 +12,7 @@
 from msgspec import Meta
 
 from ..errors import ErrorKind, Failure
+from ..upstreams.suspects import MAX_KEY
 from ..validation import Address, Ipv4Text, NonNegative
 from ..world.model import (
     Change,
@@ -24,6 +25,7 @@
 )
 
 AGE_UNIT_S = 0.01  # unit of the ages in a heartbeat
+MAX_REPORTED_ENDS = 10**6  # bound of a count of replicas
 MAX_AGE_UNITS = 10**10  # three years; bound of an age
 
 Ipv4Integer = Annotated[int, Meta(ge=0, lt=1 << 32)]
@@ -58,6 +60,25 @@
     age: AgeUnits
 
 
+class SuspectReport(msgspec.Struct, frozen=True, array_like=True):
+    """Request under which replicas ended, as a VM knows it.
+
+    Attributes
+    ----------
+    key : int
+        Digest of the request.
+    ends, rounds : int
+        Replicas that ended, and rounds of sends in which they did.
+    age : int
+        Time since the last of them ended, in units of `AGE_UNIT_S`.
+    """
+
+    key: Annotated[int, Meta(ge=0, le=MAX_KEY)]
+    ends: Annotated[int, Meta(ge=0, le=MAX_REPORTED_ENDS)]
+    rounds: Annotated[int, Meta(ge=0, le=MAX_REPORTED_ENDS)]
+    age: AgeUnits
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """What a VM regularly tells other VMs about itself and those that it hears.
@@ -88,6 +109,8 @@
         Whether the receiver should answer with a heartbeat of its own.
     limits : tuple of LimitReport
         Rate limits that replicas name; not all of them if there are many.
+    suspects : tuple of SuspectReport
+        Requests under which replicas ended lately; the newest if there are many.
     """
 
     vm: str
@@ -103,6 +126,7 @@
     heard: dict[Ipv4Integer, AgeUnits]
     asks: bool = False
     limits: tuple[LimitReport, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 class ChangeMessage(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -15,6 +15,7 @@
 from .warmup import WarmupLimiter
 
 CONNECT_TIMEOUT_S = 0.8  # below the server's own limit of 1 s for a new connection
+END_CHECK_TIMEOUT_S = 0.3  # to connect to a replica whose connection was lost
 IDLE_TIMEOUT_S = 4.0  # an idle connection is not reused after this time
 # An idle connection is given up this long before the server's keep-alive timeout.
 KEEP_ALIVE_MARGIN_S = 0.7
@@ -92,6 +93,7 @@
     connections_opened: int = 0
     _idle_connections: list[ServerConnection] = field(default_factory=list)
     _connect_tasks: set[asyncio.Task] = field(default_factory=set)
+    _end_listeners: list[Callable[[], None]] = field(default_factory=list)
 
     @property
     def accepts_requests(self) -> bool:
@@ -171,6 +173,32 @@
         exchange._on_cancel = cancel
         return exchange
 
+    def check_end(self, on_ended: Callable[[], None]) -> None:
+        """Call a function if the replica has ended, that is, accepts no connection.
+
+        A connection may also be lost because something between resets it.
+        """
+        self._end_listeners.append(on_ended)
+        if len(self._end_listeners) == 1:
+            task = asyncio.get_running_loop().create_task(self._check_end())
+            self._connect_tasks.add(task)
+            task.add_done_callback(self._connect_tasks.discard)
+
+    async def _check_end(self) -> None:
+        self.connection_count += 1
+        ended = False
+        try:
+            connection = await open_connection(
+                self.entry.address, END_CHECK_TIMEOUT_S, self._on_connection_closed
+            )
+            self._return_to_pool(connection)
+        except OSError:
+            self.connection_count -= 1
+            ended = True
+        listeners, self._end_listeners = self._end_listeners, []
+        for on_ended in listeners if ended else ():
+            on_ended()
+
     def retire(self) -> None:
         """Send it no more requests; those in flight run to their end."""
         self.retired = True
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from anvilhoist.errors import ErrorKind, Failure
 from anvilhoist.forward.call import Call
 from anvilhoist.forward.result import ForwardResult, GatherResult, Refusal
 from anvilhoist.front.process import Front
@@ -33,6 +34,8 @@
 )
 SINGLE_ROUTE = Route("read", "h", "/", True, 2.0, 0.25, 2, services=(("shard-0", 1.0),))
 ANSWER_S = 0.02
+CONNECT_S = 0.001
+RESTART_S = 3.0  # time for which a replica that ended accepts nothing
 TICK_S = 0.25
 CALLER_WAIT_S = 2.0
 DATA_CENTRES = ("vaxjo", "alvesta", "ljungby")
@@ -55,6 +58,14 @@
         Time until a request is answered, in seconds.
     rejected_share : dict of float
         Share of the requests that a service's replicas reject, by service.
+    deadly : set of bytes
+        Targets of requests that end each replica that runs them.
+    reset_share : float
+        Share of the requests whose connection something between resets.
+    ended_until : dict of float
+        When a replica that has ended accepts connections again, by its address.
+    ends : list of str
+        Addresses of the replicas that ended, each as often as it did.
     """
 
     limits: dict[str, bytes] = field(default_factory=dict)
@@ -63,6 +74,11 @@
     answer_s: float = ANSWER_S
     rejected_share: dict[str, float] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(1))
+    deadly: set[bytes] = field(default_factory=set)
+    reset_share: float = 0.0
+    ended_until: dict[str, float] = field(default_factory=dict)
+    ends: list[str] = field(default_factory=list)
+    _connections: list[FakeConnection] = field(default_factory=list)
 
     def answer(self, data: bytes) -> Reply:
         instance = _TARGET.search(data)[1].decode()
@@ -78,7 +94,22 @@
         return Reply(200, headers, b"r" * 16)
 
     async def open_connection(self, address, timeout_s, on_closed):
-        return FakeConnection(self)
+        await asyncio.sleep(CONNECT_S)
+        now = asyncio.get_running_loop().time()
+        if now < self.ended_until.get(address, 0.0):
+            raise ConnectionRefusedError
+        connection = FakeConnection(self, address)
+        self._connections.append(connection)
+        return connection
+
+    def end(self, address: str) -> None:
+        """End a replica, and start it again after a while."""
+        now = asyncio.get_running_loop().time()
+        self.ended_until[address] = now + RESTART_S
+        self.ends.append(address)
+        for connection in [c for c in self._connections if c.address == address]:
+            connection.lose()
+        self._connections = [c for c in self._connections if c.reusable]
 
     def count_most(self, instance: str, window_s: float, since: float) -> int:
         """Return the most arrivals in any window that starts at `since` or later."""
@@ -92,25 +123,44 @@
 class FakeConnection:
     """Connection of a VM to a replica that always answers."""
 
-    def __init__(self, replicas: FakeReplicas):
+    def __init__(self, replicas: FakeReplicas, address: str):
         self.replicas = replicas
+        self.address = address
         self.idle_since = 0.0
         self.keep_alive_timeout_s = None
         self.reusable = True
         self._timer: asyncio.TimerHandle | None = None
+        self._on_outcome = None
 
     def send(self, data: bytes, matches, on_outcome) -> None:
         loop = asyncio.get_running_loop()
         instance = _TARGET.search(data)[1].decode()
         self.replicas.arrivals[instance].append(loop.time())
 
+        self._on_outcome = on_outcome
+        target = data.split(b" ", 2)[1]
+
         def finish() -> None:
-            on_outcome(self.replicas.answer(data))
+            if target in self.replicas.deadly:
+                self.replicas.end(self.address)
+            elif self.replicas.random.random() < self.replicas.reset_share:
+                self.lose()
+            else:
+                self._on_outcome = None
+                on_outcome(self.replicas.answer(data))
 
         self._timer = loop.call_later(self.replicas.answer_s, finish)
 
+    def lose(self) -> None:
+        """Lose the connection; a request that is open on it fails."""
+        on_outcome = self._on_outcome
+        self.abort()
+        if on_outcome is not None:
+            on_outcome(Failure(ErrorKind.CONNECTION_LOST, "connection lost"))
+
     def abort(self) -> None:
         self.reusable = False
+        self._on_outcome = None
         if self._timer is not None:
             self._timer.cancel()
 
@@ -179,12 +229,17 @@
         changes = [
             ConfigurationChanged(Configuration(1, routes, services, ConnectionLimits()))
         ]
-        for shard in SHARDS:
+        for shard_number, shard in enumerate(SHARDS):
             for copy in range(self.copies):
                 data_centre = DATA_CENTRES[copy % 3]
                 instance = f"{shard}-{copy}"
                 entry = ReplicaEntry(
-                    instance, shard, "10.8.0.1:1", data_centre, 4, born_ms=1
+                    instance,
+                    shard,
+                    f"10.8.{shard_number}.{copy + 1}:1",
+                    data_centre,
+                    4,
+                    born_ms=1,
                 )
                 changes.append(ReplicaChanged(entry))
         endpoint = front._heartbeat_endpoint
@@ -216,10 +271,12 @@
             self.requested_at.append(loop.time())
             loop.create_task(self._request_and_count(self.fronts[chosen], route))
 
-    async def request(self, front: Front, route: Route) -> ForwardResult:
+    async def request(
+        self, front: Front, route: Route, target: bytes = b"/"
+    ) -> ForwardResult:
         """Play one request at a VM, whose caller waits for `CALLER_WAIT_S`."""
         now = asyncio.get_running_loop().time()
-        request = Request(b"GET", b"/", [], arrived_at=now)
+        request = Request(b"GET", target, [], arrived_at=now)
         call = Call(request, b"id", "h", now + CALLER_WAIT_S)
         return await front.forwarder.run(call, route)
 
