Send nothing to replicas that say that they leave, or that ask for quiet

DRAIN: a replica that leaves says so in its answers (`Server-Leaving: 1`), and gets nothing from this VM later than drain-ms after that. BUDGET: a replica that turns a request away with 503 and `Retry-After` gets no more than two requests from this VM between half a second after that and the end of that time.

Both are beliefs about a replica that every send asks before it goes: first sends, held ones, retries, hedges and extra probes all choose by Replica.accepts_requests at that moment. A start under the same id or another address makes it a new replica. An invalid Retry-After (a date, a sign, an exponent) asks for nothing; an enormous one counts for an hour. One line and one metric for each.

Not done: the stand-in processes and the soak don't speak the two headers yet; review of a connect that is under way when the answer comes (milliseconds).

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -16,7 +16,9 @@
 from ..platform.edge import (
     classify_reply,
     encode_replica_request,
+    is_leaving,
     make_response_matcher,
+    parse_quiet_time,
     parse_rate_limit,
     parse_server_load,
 )
@@ -230,9 +232,35 @@
             )
         else:
             self._record_limit(replica, exchange, reply, verdict)
+            self._record_wishes(replica, reply)
         if verdict in NOT_EXECUTED_VERDICTS:
             self.metrics.increment("replica_rejected")
 
+    def _record_wishes(self, replica: Replica, reply: Reply) -> None:
+        """Note that a replica leaves, or wants no requests for a while."""
+        if is_leaving(reply.headers) and not replica.leaving:
+            replica.leaving = True
+            replica.close_idle_connections()
+            self.metrics.increment("replica_leaving")
+            structlog.get_logger().info(
+                "replica_leaving",
+                replica=replica.entry.instance,
+                service=replica.entry.service,
+            )
+        quiet_s = parse_quiet_time(reply)
+        if quiet_s <= 0.0:
+            return
+        was_quiet = self.now() < replica.quiet_until
+        replica.quiet_until = max(replica.quiet_until, self.now() + quiet_s)
+        self.metrics.increment("replica_quiet")
+        if not was_quiet:
+            structlog.get_logger().info(
+                "replica_quiet",
+                replica=replica.entry.instance,
+                service=replica.entry.service,
+                quiet_s=round(quiet_s, 2),
+            )
+
     def _record_limit(
         self, replica: Replica, exchange: Exchange, reply: Reply, verdict: Verdict
     ) -> None:
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -25,6 +25,8 @@
 # Longest wait of a caller, and the wait of one that gives no valid deadline.
 MAX_WAIT_S = 3600.0
 
+# Longest time for which a replica may ask to get no requests.
+MAX_QUIET_S = 3600.0
 # A limit above this many requests per second limits nothing.
 MAX_RATE_LIMIT = 1e6
 
@@ -181,6 +183,25 @@
     return limit if limit <= MAX_RATE_LIMIT else math.inf
 
 
+def is_leaving(headers: Headers) -> bool:
+    """Return whether a replica says that it leaves."""
+    return find_header(headers, names.LEAVING) == b"1"
+
+
+def parse_quiet_time(reply: Reply) -> float:
+    """Return for how long a replica wants no requests, in seconds.
+
+    It is 0 unless the replica turns a request away with status 503 and a decimal
+    number of seconds.
+    """
+    if reply.status != 503:
+        return 0.0
+    value = find_header(reply.headers, names.RETRY_AFTER)
+    if value is None or not _DECIMAL.fullmatch(value):
+        return 0.0
+    return min(MAX_QUIET_S, float(value))
+
+
 def build_forwarded_response(reply: Reply) -> Response:
     """Build the caller's response: a replica's without its hop-by-hop headers."""
     return Response(
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -78,6 +78,10 @@
     retired : bool
         Whether it gets no more requests, because it was removed or replaced, or another
         instance has its address.
+    leaving : bool
+        Whether it has said in an answer that it leaves.
+    quiet_until : float
+        Time up to which it wants no requests from this VM, in seconds.
     connection_count, connections_opened : int
         Connections that are open or being opened, and all attempts to open one.
     """
@@ -89,6 +93,8 @@
     quota: ReplicaQuota = field(default_factory=ReplicaQuota)
     health: Health = field(default_factory=Health)
     retired: bool = False
+    leaving: bool = False
+    quiet_until: float = 0.0
     connection_count: int = 0
     connections_opened: int = 0
     _idle_connections: list[ServerConnection] = field(default_factory=list)
@@ -97,8 +103,13 @@
 
     @property
     def accepts_requests(self) -> bool:
-        """Whether it may get requests: it is neither retired nor draining."""
-        return not (self.retired or self.entry.draining)
+        """Whether it may get requests: it neither leaves nor wants none for a while."""
+        return not (
+            self.retired
+            or self.entry.draining
+            or self.leaving
+            or self.now() < self.quiet_until
+        )
 
     def is_usable(self, now: float) -> bool:
         """Return whether it may get a request now and is expected to answer it."""
--- /dev/null
+++ b/tests/test_wishes.py
@@ -0,0 +1,157 @@
+"""Replicas that say in answers that they leave, or want no requests for a while."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import pytest
+import structlog
+from hypothesis import given
+from hypothesis import strategies as st
+
+from anvilhoist.errors import ErrorKind
+from anvilhoist.http.exchange import Reply
+from anvilhoist.platform.edge import MAX_QUIET_S, is_leaving, parse_quiet_time
+from virtual_fleet import GATHER_ROUTE, SINGLE_ROUTE, VirtualFleet
+from virtual_time import run_in_virtual_time
+
+RATE = 60
+REPLICA = "shard-0-0"
+DRAIN_S = 3.0  # time after which a replica that said that it leaves gets nothing
+QUIET_SLACK_S = 0.5  # time after which a replica that asked for quiet has it
+MOST_IN_QUIET = 2  # requests of one VM
+
+
+@pytest.fixture(autouse=True)
+def quiet_logs():
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    yield
+    structlog.reset_defaults()
+
+
+def play(monkeypatch, act, route=GATHER_ROUTE, vms=4, copies=2, seconds=20.0):
+    async def main():
+        fleet = VirtualFleet(monkeypatch, vms, copies)
+        task = asyncio.get_running_loop().create_task(act(fleet))
+        await fleet.play(seconds, RATE, route)
+        await task
+        return fleet
+
+    return run_in_virtual_time(main())
+
+
+def count_arrivals(fleet: VirtualFleet, start: float, end: float) -> int:
+    return sum(start <= at < end for at in fleet.replicas.arrivals[REPLICA])
+
+
+class TestLeaving:
+    @pytest.mark.parametrize("route", [GATHER_ROUTE, SINGLE_ROUTE])
+    @pytest.mark.parametrize("faults", [{}, {"reset_share": 0.1}])
+    def test_replica_that_says_so_gets_nothing_later(self, monkeypatch, route, faults):
+        # Guards against first sends, retries, hedges and probes to it.
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            fleet.replicas.more_headers[REPLICA] = [(b"server-leaving", b"1")]
+            for name, value in faults.items():
+                setattr(fleet.replicas, name, value)
+
+        fleet = play(monkeypatch, act, route)
+        assert count_arrivals(fleet, 0.0, 5.0) > 10
+        assert count_arrivals(fleet, 5.0 + DRAIN_S, 30.0) == 0
+        assert fleet.results["whole"] >= 0.95 * sum(fleet.results.values())
+
+    def test_replica_that_starts_again_is_used(self, monkeypatch):
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            fleet.replicas.more_headers[REPLICA] = [(b"server-leaving", b"1")]
+            await asyncio.sleep(5.0)
+            fleet.replicas.more_headers.clear()
+            fleet.publish_restart(REPLICA, born_ms=2)
+
+        fleet = play(monkeypatch, act)
+        assert count_arrivals(fleet, 8.0, 10.0) == 0
+        assert count_arrivals(fleet, 10.0, 20.0) > 10
+
+    def test_shard_whose_replicas_all_leave_is_left_out(self, monkeypatch):
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            for copy in range(2):
+                instance = f"shard-0-{copy}"
+                fleet.replicas.more_headers[instance] = [(b"server-leaving", b"1")]
+
+        fleet = play(monkeypatch, act)
+        assert count_arrivals(fleet, 5.0 + DRAIN_S, 30.0) == 0
+        assert fleet.results["partial"] > 0
+        assert set(fleet.results) <= {"whole", "partial"}
+
+    @pytest.mark.parametrize(
+        ("value", "leaving"),
+        [(b"1", True), (b"0", False), (b"", False), (b"11", False), (b"yes", False)],
+    )
+    def test_only_the_named_value_counts(self, value, leaving):
+        assert is_leaving([(b"server-leaving", value)]) is leaving
+        assert not is_leaving([])
+
+
+class TestQuiet:
+    @pytest.mark.parametrize("route", [GATHER_ROUTE, SINGLE_ROUTE])
+    @pytest.mark.parametrize("limit", [None, b"30"])
+    def test_replica_that_asked_for_quiet_has_it(self, monkeypatch, route, limit):
+        # Guards against first sends, retries, hedges and probes to it.
+        quiet_s = 4.0
+
+        async def act(fleet):
+            if limit is not None:
+                fleet.replicas.limits[REPLICA] = limit
+            await asyncio.sleep(5.0)
+            fleet.replicas.quiet[REPLICA] = b"4"
+            await asyncio.sleep(8.0)
+            fleet.replicas.quiet.clear()
+
+        fleet = play(monkeypatch, act, route, vms=1)
+        assert fleet.replicas.asked_quiet[REPLICA]
+        for at in fleet.replicas.asked_quiet[REPLICA]:
+            arrivals = count_arrivals(fleet, at + QUIET_SLACK_S, at + quiet_s)
+            assert arrivals <= MOST_IN_QUIET
+        assert count_arrivals(fleet, 18.0, 20.0) > 0
+        assert fleet.results["whole"] >= 0.95 * sum(fleet.results.values())
+
+    def test_request_is_refused_at_once_if_all_want_quiet(self, monkeypatch):
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            for copy in range(2):
+                fleet.replicas.quiet[f"shard-0-{copy}"] = b"30"
+
+        fleet = play(monkeypatch, act, SINGLE_ROUTE)
+        assert fleet.results[ErrorKind.NO_REPLICA.value] > 100
+        # Each VM has to be asked by each replica once.
+        assert sum(waited_s > 0.01 for waited_s in fleet.refusal_s) <= 2 * 4
+
+    @pytest.mark.parametrize(
+        ("status", "value", "seconds"),
+        [
+            (503, b"2", 2.0),
+            (503, b"0.25", 0.25),
+            (503, b"0", 0.0),
+            (503, b"-3", 0.0),
+            (503, b"", 0.0),
+            (503, b"soon", 0.0),
+            (503, b"nan", 0.0),
+            (503, b"1e9", 0.0),
+            (503, b"9" * 400, MAX_QUIET_S),
+            (503, b"Fri, 04 Dec 2026 10:00:00 GMT", 0.0),
+            (429, b"2", 0.0),
+            (200, b"2", 0.0),
+        ],
+    )
+    def test_value(self, status, value, seconds):
+        reply = Reply(status, [(b"retry-after", value)], b"")
+        assert parse_quiet_time(reply) == seconds
+
+    @given(st.binary(max_size=20))
+    def test_any_value_is_a_time_in_bounds(self, value):
+        found = parse_quiet_time(Reply(503, [(b"retry-after", value)], b""))
+        assert 0.0 <= found <= MAX_QUIET_S
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -5,7 +5,7 @@
 import asyncio
 import re
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from anvilhoist.errors import ErrorKind, Failure
@@ -58,6 +58,12 @@
         Time until a request is answered, in seconds.
     rejected_share : dict of float
         Share of the requests that a service's replicas reject, by service.
+    more_headers : dict of list
+        Headers that a replica adds to all its answers, by instance.
+    quiet : dict of bytes
+        Retry-After with which an instance turns all requests away.
+    asked_quiet : dict of list of float
+        When each instance turned a request away so, in seconds.
     deadly : set of bytes
         Targets of requests that end each replica that runs them.
     reset_share : float
@@ -74,6 +80,11 @@
     answer_s: float = ANSWER_S
     rejected_share: dict[str, float] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(1))
+    more_headers: dict[str, list] = field(default_factory=dict)
+    quiet: dict[str, bytes] = field(default_factory=dict)
+    asked_quiet: dict[str, list[float]] = field(
+        default_factory=lambda: defaultdict(list)
+    )
     deadly: set[bytes] = field(default_factory=set)
     reset_share: float = 0.0
     ended_until: dict[str, float] = field(default_factory=dict)
@@ -85,7 +96,13 @@
         share = self.rejected_share.get(instance.rpartition("-")[0], 0.0)
         if share and self.random.random() < share:
             return Reply(503, [(b"x-not-executed", b"shed")], b"")
+        if instance in self.quiet:
+            now = asyncio.get_running_loop().time()
+            self.asked_quiet[instance].append(now)
+            retry_after = (b"retry-after", self.quiet[instance])
+            return Reply(503, [(b"x-not-executed", b"busy"), retry_after], b"")
         headers = [(b"x-response-signature", instance.encode())]
+        headers += self.more_headers.get(instance, [])
         limit = self.limits.get(instance)
         if limit is not None:
             headers.append((b"server-limit", limit))
@@ -248,6 +265,12 @@
         self.endpoints[host] = endpoint
         front.view.apply(1, changes)
 
+    def publish_restart(self, instance: str, born_ms: int) -> None:
+        """Publish that a replica has started again."""
+        for front in self.fronts.values():
+            entry = replace(front.view.entries[instance], born_ms=born_ms)
+            front.view.apply(front.view.revision + 1, [ReplicaChanged(entry)])
+
     def kill(self, number: int) -> None:
         """End a VM at once; it sends nothing more."""
         host = f"10.0.0.{number}"
