Answer 502 where a replica's 503 may hide that a booking has run

What callers saw: a booking that a replica had run and failed with 503, without saying that it had not run it, was answered 503.

Cause: a replica's error response was forwarded whatever its status.

Change: for requests that must not run twice such a response ends in our own 502. Idempotent requests get the replica's response as before.

--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -17,6 +17,8 @@
 from .refusal import refuse
 from .result import Refusal
 
+# Statuses by which callers know that a request has not run and never will.
+UNEXECUTED_STATUSES = (408, 421, 429, 503)
 MAX_SENDS = 5  # per request, including sends that replicas rejected
 
 
@@ -101,7 +103,7 @@
         )
         if unsent or verdict in NOT_EXECUTED_VERDICTS:
             self._attempts -= 1
-        elif isinstance(outcome, Reply) and verdict is Verdict.FAILED:
+        elif isinstance(outcome, Reply) and self._may_forward_error(outcome, verdict):
             self._error_reply = outcome
         if isinstance(outcome, Failure):
             self._last_failure = outcome
@@ -111,6 +113,16 @@
         if not self._pending:
             self._retry(unsent)
 
+    def _may_forward_error(self, reply: Reply, verdict: Verdict) -> bool:
+        """Return whether a replica's error response may go to the caller.
+
+        Some statuses promise that the request has not run and never will. Only a
+        replica that says so itself keeps this promise.
+        """
+        if verdict is not Verdict.FAILED:
+            return False
+        return self._route.repeatable or reply.status not in UNEXECUTED_STATUSES
+
     def _retry(self, unsent: bool) -> None:
         context = self._context
         now = context.now()
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -61,6 +61,8 @@
         Share of the requests that a service's replicas reject, by service.
     more_headers : dict of list
         Headers that a replica adds to all its answers, by instance.
+    status : int
+        Status of all answers; those of requests that ran and failed are not 200.
     quiet : dict of bytes
         Retry-After with which an instance turns all requests away.
     asked_quiet : dict of list of float
@@ -82,6 +84,7 @@
     rejected_share: dict[str, float] = field(default_factory=dict)
     random: Random = field(default_factory=lambda: Random(1))
     more_headers: dict[str, list] = field(default_factory=dict)
+    status: int = 200
     quiet: dict[str, bytes] = field(default_factory=dict)
     asked_quiet: dict[str, list[float]] = field(
         default_factory=lambda: defaultdict(list)
@@ -109,7 +112,7 @@
             headers.append((b"server-limit", limit))
             now = asyncio.get_running_loop().time()
             self.named_at.setdefault(instance, now)
-        return Reply(200, headers, b"r" * 16)
+        return Reply(self.status, headers, b"r" * 16)
 
     async def open_connection(self, address, timeout_s, on_closed):
         await asyncio.sleep(CONNECT_S)
