--- a/src/anvilhoist/site/replicas.py
+++ b/src/anvilhoist/site/replicas.py
@@ -8,6 +8,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +17,7 @@
 from ..http.server import HttpServer
 from ..platform import names
 from ..process import run_cli, wait_for_stop_signal
+from ..tasks import start_task
 from .parts import make_digest, make_records
 
 # Requests waiting or running at a replica; it rejects further ones.
@@ -24,8 +26,13 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 FAULTS = (
     "", "slow", "dark", "shed", "extra", "cut", "cut_head", "reset", "unframed",
-    "fail", "limit", "gone",
+    "fail", "limit", "leaving", "quiet", "gone",
 )  # fmt: skip
+QUIET_S = 2  # for which a replica wants no requests, under the fault "quiet"
+DEADLY_PATH = (
+    b"/deadly"  # a request with this in its path ends the replicas that run it
+)
+DOWN_S = 2.0  # time for which a replica that ended accepts no connection
 SLOWDOWN_FACTOR = 8.0  # Multiplies the time of a request under the fault "slow".
 RATE_LIMIT_PER_S = 2.0  # for all VMs together, under the fault "limit"
 # Probability that a request is hit by a fault other than "slow", "dark" and "gone".
@@ -57,6 +64,8 @@
         - "reset": the connection is reset in place of an answer.
         - "unframed": the answer has no content length, and may end early with a reset.
         - "fail": the request runs and gets status 500.
+        - "leaving": answers say that the replica leaves.
+        - "quiet": requests are rejected with status 503 and a Retry-After of `QUIET_S`.
         - "limit": answers name `RATE_LIMIT_PER_S`; further requests are served too.
         - "gone": new connections are refused, also after another fault is set.
     runs : list of dict
@@ -66,6 +75,8 @@
         Boot times at which requests arrived, in seconds.
     open_requests, running : int
         Requests waiting or running now, and those of them that run.
+    on_end : callable
+        Called with the instance when a request ends the replica.
     """
 
     instance: str
@@ -77,6 +88,8 @@
     arrivals: list[float] = field(default_factory=list)
     open_requests: int = 0
     running: int = 0
+    on_end: Callable[[str], None] = lambda instance: None
+    _writers: set[asyncio.StreamWriter] = field(default_factory=set)
     _free_slots: asyncio.Semaphore | None = None
     _random: random.Random = field(default_factory=random.Random)
 
@@ -88,14 +101,21 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection until it ends."""
+        self._writers.add(writer)
         try:
             while await self._serve_request(reader, writer):
                 pass
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
+    def reset_connections(self) -> None:
+        """Reset all connections, as the end of the process does."""
+        for writer in list(self._writers):
+            self._reset_connection(writer)
+
     async def _serve_request(self, reader, writer) -> bool:
         """Serve one request; return whether the connection stays open."""
         head = await reader.readuntil(b"\r\n\r\n")
@@ -114,17 +134,18 @@
         if headers.get(names.TARGET_INSTANCE, b"").decode() != self.instance:
             return self._write_response(writer, attempt, 421, b"")
         if self._should_reject():
-            return self._write_response(
-                writer, attempt, 503, b"", (names.NOT_EXECUTED, b"1")
-            )
+            not_executed = (names.NOT_EXECUTED, b"1")
+            return self._write_response(writer, attempt, 503, b"", not_executed)
         if not await self._run_request(reader, request_line, attempt, headers, body):
             return False
+        if DEADLY_PATH in request_line:
+            self.on_end(self.instance)
+            return False
         return await self._send_answer(writer, attempt, request_line)
 
     def _should_reject(self) -> bool:
-        if self.fault == "shed" and self._random.random() < FAULT_PROBABILITY:
-            return True
-        return self.open_requests >= MAX_OPEN_REQUESTS
+        sheds = self.fault == "shed" and self._random.random() < FAULT_PROBABILITY
+        return sheds or self.fault == "quiet" or self.open_requests >= MAX_OPEN_REQUESTS
 
     async def _run_request(self, reader, request_line, attempt, headers, body) -> bool:
         """Run a request once a slot is free.
@@ -236,6 +257,10 @@
         ]
         if status in (200, 500):
             headers.append((names.DIGEST, make_digest(self.service, attempt)))
+        if self.fault == "quiet" and status == 503:
+            headers.append((names.RETRY_AFTER, b"%d" % QUIET_S))
+        if self.fault == "leaving":
+            headers.append((names.LEAVING, b"1"))
         if self.fault == "limit":
             headers.append((names.RATE_LIMIT, b"%.1f" % RATE_LIMIT_PER_S))
         header_lines = [
@@ -252,6 +277,7 @@
     host: str
     standins: dict[str, Standin] = field(default_factory=dict)
     _servers: dict[str, asyncio.Server] = field(default_factory=dict)
+    _ends: list[str] = field(default_factory=list)
 
     async def handle(self, request: Request) -> Response:
         """Run a control command."""
@@ -267,16 +293,32 @@
         if path == "/arrivals":
             arrivals = {name: each.arrivals for name, each in self.standins.items()}
             return Response(200, [], json.dumps(arrivals).encode())
+        if path == "/ends":
+            return Response(200, [], json.dumps(self._ends).encode())
         return Response(400)
 
     async def _start_replica(self, fields: dict[str, Any]) -> Response:
         port = fields.pop("port")
-        standin = Standin(**fields)
+        standin = Standin(**fields, on_end=self._end_replica)
         server = await asyncio.start_server(standin.serve, self.host, port)
         self.standins[standin.instance] = standin
         self._servers[standin.instance] = server
         return Response(200)
 
+    def _end_replica(self, instance: str) -> None:
+        self._ends.append(instance)
+        start_task("restart", self._restart_replica(instance))
+
+    async def _restart_replica(self, instance: str) -> None:
+        standin, server = self.standins[instance], self._servers[instance]
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        standin.reset_connections()
+        await asyncio.sleep(DOWN_S)
+        self._servers[instance] = await asyncio.start_server(
+            standin.serve, self.host, port
+        )
+
     async def _set_fault(self, instance: str, fault: str) -> Response:
         self.standins[instance].fault = fault
         if fault == "gone":
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -8,6 +8,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+import aiohttp
 import pytest
 
 from anvilhoist.clock import read_boottime
@@ -16,10 +17,12 @@
 from anvilhoist.platform.publish import encode_replica
 from anvilhoist.site.invariants import TrafficCutoff, find_violations
 from anvilhoist.site.load import LoadGenerator
-from anvilhoist.site.replicas import RATE_LIMIT_PER_S
+from anvilhoist.site.replicas import QUIET_S, RATE_LIMIT_PER_S
 from anvilhoist.site.site import (
     DATA_CENTRES,
+    HOST_NAME,
     NEXT_SHARDS,
+    SEARCH_PREFIX,
     SHARDS,
     UNSHARDED_SERVICE,
     Site,
@@ -85,6 +88,14 @@
     return "\n".join(lines)
 
 
+async def send_search(vm: Vm, query: str, attempt: str) -> int:
+    """Send a search to a VM, and return the status of its response."""
+    headers = {"Host": HOST_NAME, "x-attempt-id": attempt, "x-deadline-ms": "1500"}
+    url = f"http://{vm.callers_address}{SEARCH_PREFIX}{query}"
+    async with aiohttp.request("GET", url, headers=headers) as reply:
+        return reply.status
+
+
 async def count_arrivals(site: Site) -> dict[str, int]:
     """Return how many requests have arrived at each replica."""
     arrivals = json.loads(await site.send_replicas_command("arrivals"))
@@ -293,6 +304,47 @@
         for instance in limited:
             assert counts[1][instance] - counts[0][instance] <= allowed
 
+    @pytest.mark.parametrize(
+        ("fault", "grace_s", "seconds", "most"),
+        [("leaving", CUTOFF_DELAY_S, 2.0, 0), ("quiet", 0.5, QUIET_S - 1.0, 2)],
+    )
+    def test_replicas_get_what_they_ask_for(self, fault, grace_s, seconds, most):
+        asked: list[str] = []
+
+        async def action(site, load):
+            asked.extend(list(site.entries)[::2])
+            for instance in asked:
+                await site.set_fault(instance, fault)
+            # By then each VM has sent to each of them, and has been told.
+            await asyncio.sleep(0.5 + grace_s)
+            counts.append(await count_arrivals(site))
+            await asyncio.sleep(seconds)
+            counts.append(await count_arrivals(site))
+
+        counts: list[dict[str, int]] = []
+        results, site, violations = run_under_load(action, seconds=0.2)
+        assert not violations
+        assert compute_success_rate(results) > 0.95
+        for instance in asked:
+            got = counts[1][instance] - counts[0][instance]
+            assert got <= most * len(site.fleet), instance
+
+    def test_request_that_ends_replicas_is_stopped(self):
+        # Guards against a request that takes down each copy of each shard.
+        async def action(site, load):
+            for number in range(9):
+                vm = site.fleet[number % len(site.fleet)]
+                await send_search(vm, "deadly", f"deadly-{number}")
+                await asyncio.sleep(0.4)
+            ends.extend(json.loads(await site.send_replicas_command("ends")))
+
+        ends: list[str] = []
+        results, site, _ = run_under_load(action, require_answers=False)
+        assert len(SHARDS) <= len(ends) <= len(SHARDS) + 1
+        assert compute_success_rate(results) >= 0.95
+        for vm in site.fleet:
+            assert "request_quarantined" in site.read_log(vm.name)
+
     def test_reshard(self):
         async def action(site, load):
             for service in NEXT_SHARDS:
