Call one piece of code where this change had written twins

Read again as a newcomer; behaviour stays.

- Why an outcome has no response was asked in four places: has_failed_with.
- Connections to a replica were opened and counted in two ways: Replica._connect; the check whether a replica ended runs by tasks.start_task, which logs a failure, and gives its count back if it is cancelled.
- A call was judged by the handler and again by its run, a digest each: judged once.
- Heartbeats had a callback for each kind of report: one for the heartbeat.
- Types of whole numbers stand in validation beside the other types of numbers.
- When contact with the store began was set in two places: one condition.

--- a/src/anvilhoist/forward/gate.py
+++ b/src/anvilhoist/forward/gate.py
@@ -5,8 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..errors import ErrorKind, Failure
-from ..http.exchange import Outcome
+from ..errors import ErrorKind
+from ..http.exchange import Outcome, has_failed_with
 from ..upstreams.replica import Exchange
 from .call import Verdict
 
@@ -65,9 +65,7 @@
             return
         if verdict in (Verdict.SUCCEEDED, Verdict.FAILED):
             self.proven = True
-        lost = (
-            isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECTION_LOST
-        )
+        lost = has_failed_with(outcome, ErrorKind.CONNECTION_LOST)
         self.lost += lost
         if exchange in self._unproven:
             self._unproven.discard(exchange)
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -10,7 +10,6 @@
 from ..http.exchange import Outcome
 from ..platform.edge import read_digest
 from ..upstreams.replica import Exchange, Replica
-from ..upstreams.suspects import Suspicion
 from ..world.model import Gather, Route
 from .call import Call, Verdict
 from .context import Context
@@ -33,7 +32,14 @@
 class GatherRun:
     """Run of one query over many shards."""
 
-    def __init__(self, context: Context, call: Call, route: Route, gather: Gather):
+    def __init__(
+        self,
+        context: Context,
+        call: Call,
+        route: Route,
+        gather: Gather,
+        is_suspect: bool = False,
+    ):
         self._context = context
         self._call = call
         self._route = route
@@ -45,6 +51,7 @@
         self._unresolved_count = len(self._shards)
         self._hedges = 0
         self._retries = 0
+        self._is_suspect = is_suspect
         self._gate = SendGate()
         self._timers: list[asyncio.TimerHandle] = []
         # The run keeps to this version's shards even if the configuration changes.
@@ -75,17 +82,16 @@
                 self._context, self._call, self._route, kind, reachable, limited
             )
         self._start_timers()
-        is_suspect = self._context.judge(self._call) is Suspicion.SUSPECTED
         try:
             for shard, replica in zip(self._shards, replicas, strict=True):
                 if replica is None:
                     self._abandon_shard(shard)
-                elif is_suspect:
+                elif self._is_suspect:
                     self._gate.hold(partial(self._send_first, shard))
                 else:
                     self._send(shard, replica)
             self._send_held()
-            if not is_suspect:
+            if not self._is_suspect:
                 self._send_extra_probes()
             return await self._result
         except asyncio.CancelledError:
@@ -106,8 +112,8 @@
         replica = self._choose_untried(shard)
         if replica is None:
             self._abandon_shard(shard)
-            return
-        self._send(shard, replica, risked=True)
+        else:
+            self._send(shard, replica, risked=True)
 
     def _send(self, shard: ShardState, replica: Replica, risked: bool = False) -> None:
         """Send to a replica; `risked` if none may have survived the query so far."""
@@ -127,10 +133,7 @@
             self._gate.watch(exchange)
 
     def _send_held(self) -> None:
-        while not self._result.done():
-            send = self._gate.take_admitted()
-            if send is None:
-                return
+        while not self._result.done() and (send := self._gate.take_admitted()):
             send()
 
     def _send_probe(self, shard: ShardState, replica: Replica) -> None:
--- a/src/anvilhoist/forward/handler.py
+++ b/src/anvilhoist/forward/handler.py
@@ -50,7 +50,8 @@
         """Run a call on a route and return its result."""
         context = self.context
         context.metrics.increment("requests", route.name)
-        if context.judge(call) is Suspicion.QUARANTINED:
+        suspicion = context.judge(call)
+        if suspicion is Suspicion.QUARANTINED:
             retry_after_s = context.suspects.compute_quarantine_left(call.key)
             return refuse(
                 context,
@@ -61,12 +62,14 @@
             )
         if not self._can_complete(route):
             return refuse(context, call, route, ErrorKind.STOPPING)
+        is_suspect = suspicion is Suspicion.SUSPECTED
         if route.gather is not None:
-            return await GatherRun(context, call, route, route.gather).run()
+            run = GatherRun(context, call, route, route.gather, is_suspect)
+            return await run.run()
         service = choose_service(route, context.random)
         if service is None:
             return refuse(context, call, route, ErrorKind.NO_REPLICA)
-        return await SingleRun(context, call, route, service).run()
+        return await SingleRun(context, call, route, service, is_suspect).run()
 
     def _can_complete(self, route: Route) -> bool:
         """Return whether a request that begins now ends before the process stops."""
--- a/src/anvilhoist/forward/shard.py
+++ b/src/anvilhoist/forward/shard.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from ..errors import ErrorKind, Failure
-from ..http.exchange import Outcome
+from ..errors import ErrorKind
+from ..http.exchange import Outcome, has_failed_with
 from ..upstreams.replica import Exchange, Replica
 from .call import NOT_EXECUTED_VERDICTS, Verdict
 
@@ -50,9 +50,7 @@
 
     def uncount_unexecuted(self, outcome: Outcome, verdict: Verdict) -> bool:
         """Take back an attempt that no replica executed; return if none was reached."""
-        unsent = (
-            isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECT_FAILED
-        )
+        unsent = has_failed_with(outcome, ErrorKind.CONNECT_FAILED)
         if unsent or verdict in NOT_EXECUTED_VERDICTS:
             self.attempts -= 1
         return unsent
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -7,9 +7,8 @@
 import structlog
 
 from ..errors import ErrorKind, Failure
-from ..http.exchange import Outcome, Reply
+from ..http.exchange import Outcome, Reply, has_failed_with
 from ..upstreams.replica import Exchange, Replica
-from ..upstreams.suspects import Suspicion
 from ..world.model import Route
 from .call import NOT_EXECUTED_VERDICTS, Call, Verdict
 from .context import Context
@@ -29,7 +28,14 @@
     is never hedged.
     """
 
-    def __init__(self, context: Context, call: Call, route: Route, service: str):
+    def __init__(
+        self,
+        context: Context,
+        call: Call,
+        route: Route,
+        service: str,
+        is_suspect: bool = False,
+    ):
         self._context = context
         self._call = call
         self._route = route
@@ -42,7 +48,7 @@
         self._sends = 0
         self._error_reply: Reply | None = None
         self._last_failure: Failure | None = None
-        self._is_suspect = context.judge(call) is Suspicion.SUSPECTED
+        self._is_suspect = is_suspect
         self._timers: list[asyncio.TimerHandle] = []
         self._result: asyncio.Future[Reply | Refusal] = (
             asyncio.get_running_loop().create_future()
@@ -98,18 +104,16 @@
             self._plan.latency.add(self._context.now() - exchange.sent_at)
             self._finish_with_reply(outcome)
             return
-        unsent = (
-            isinstance(outcome, Failure) and outcome.kind is ErrorKind.CONNECT_FAILED
-        )
+        unsent = has_failed_with(outcome, ErrorKind.CONNECT_FAILED)
         if unsent or verdict in NOT_EXECUTED_VERDICTS:
             self._attempts -= 1
         elif isinstance(outcome, Reply) and self._may_forward_error(outcome, verdict):
             self._error_reply = outcome
         if isinstance(outcome, Failure):
             self._last_failure = outcome
-            if self._is_suspect and outcome.kind is ErrorKind.CONNECTION_LOST:
-                self._finish_without_success(ErrorKind.UPSTREAM_FAILED)
-                return
+        if self._is_suspect and has_failed_with(outcome, ErrorKind.CONNECTION_LOST):
+            self._finish_without_success(ErrorKind.UPSTREAM_FAILED)
+            return
         if not self._pending:
             self._retry(unsent)
 
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -25,7 +25,7 @@
 from ..peers.heartbeats import HEARTBEAT_PERIOD_S, HeartbeatEndpoint
 from ..peers.limits import apply_limit_reports, collect_limit_reports
 from ..peers.members import Members
-from ..peers.messages import Heartbeat, LimitReport, SuspectReport, VmState
+from ..peers.messages import Heartbeat, VmState
 from ..peers.reading import RELAY_INDEXES, PeerReader
 from ..peers.relays import STORE_READERS
 from ..peers.senders import SenderOrder
@@ -124,8 +124,7 @@
             settings.peers_port,
             self.make_heartbeat,
             self.context.random,
-            self._apply_limits,
-            self._apply_suspects,
+            self._apply_reports,
         )
         self.context.suspects.on_worse = self._heartbeat_endpoint.send
         self._directory = AddressDirectory(self.members, self.context.random)
@@ -296,11 +295,10 @@
             collect_suspect_reports(self.context.suspects, read_boottime()),
         )
 
-    def _apply_limits(self, reports: tuple[LimitReport, ...]) -> None:
-        apply_limit_reports(self.replicas, reports, read_boottime())
-
-    def _apply_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
-        apply_suspect_reports(self.context.suspects, reports, read_boottime())
+    def _apply_reports(self, heartbeat: Heartbeat) -> None:
+        now = read_boottime()
+        apply_limit_reports(self.replicas, heartbeat.limits, now)
+        apply_suspect_reports(self.context.suspects, heartbeat.suspects, now)
 
     def _find_service(self, name: str) -> Service | None:
         configuration = self.view.configuration
--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -58,6 +58,11 @@
     return info[0] == TCP_CLOSE_WAIT
 
 
+def has_failed_with(outcome: Outcome, kind: ErrorKind) -> bool:
+    """Return whether there is no response, and this is why."""
+    return isinstance(outcome, Failure) and outcome.kind is kind
+
+
 class ServerConnection(asyncio.Protocol):
     """A connection to a server that carries one request at a time.
 
--- a/src/anvilhoist/peers/heartbeats.py
+++ b/src/anvilhoist/peers/heartbeats.py
@@ -13,8 +13,6 @@
 from .members import Members
 from .messages import (
     Heartbeat,
-    LimitReport,
-    SuspectReport,
     VmState,
     decode_heartbeat,
     encode_heartbeat,
@@ -23,8 +21,7 @@
 HEARTBEAT_PERIOD_S = 0.5
 
 MakeHeartbeat = Callable[[bool], Heartbeat]
-ApplyLimits = Callable[[tuple[LimitReport, ...]], None]
-ApplySuspects = Callable[[tuple[SuspectReport, ...]], None]
+ApplyReports = Callable[[Heartbeat], None]
 
 
 class HeartbeatEndpoint(asyncio.DatagramProtocol):
@@ -41,10 +38,8 @@
         for an answer.
     random : Random
         Selects the receivers.
-    apply_limits : callable
-        Records the rate limits that another VM reports.
-    apply_suspects : callable
-        Records the requests under which replicas ended at another VM.
+    apply_reports : callable
+        Records what a heartbeat of another VM reports of replicas and requests.
     """
 
     def __init__(
@@ -53,15 +48,13 @@
         port: int,
         make_heartbeat: MakeHeartbeat,
         random: Random,
-        apply_limits: ApplyLimits = lambda limits: None,
-        apply_suspects: ApplySuspects = lambda suspects: None,
+        apply_reports: ApplyReports = lambda heartbeat: None,
     ):
         self._members = members
         self._port = port
         self._make_heartbeat = make_heartbeat
         self._random = random
-        self._apply_limits = apply_limits
-        self._apply_suspects = apply_suspects
+        self._apply_reports = apply_reports
         self._transport: asyncio.DatagramTransport | None = None
         self._announced_state: VmState | None = None
         self._announce_until = 0.0
@@ -86,8 +79,7 @@
             )
             return
         self._members.record(found)
-        self._apply_limits(found.limits)
-        self._apply_suspects(found.suspects)
+        self._apply_reports(found)
         if found.asks:
             self._send_to((found.host,), self._make_heartbeat(False))
 
--- a/src/anvilhoist/platform/documents.py
+++ b/src/anvilhoist/platform/documents.py
@@ -12,7 +12,16 @@
 from msgspec import Meta, Struct
 
 from ..http.limits import ConnectionLimits
-from ..validation import Address, Finite, NonNegative, Positive, Share
+from ..validation import (
+    Address,
+    Finite,
+    NonNegative,
+    NonNegativeWhole,
+    Positive,
+    PositiveWhole,
+    Share,
+    WholeNumber,
+)
 from ..world.model import (
     Change,
     Configuration,
@@ -30,11 +39,6 @@
 MS_PER_S = 1000.0
 MAX_RECORDS = 1_000_000  # bound of the records in the answer of a gather query
 MAX_SLOTS = 1_000_000  # bound of the requests that a replica runs at once
-MAX_WHOLE_NUMBER = 2**53  # up to this, whole numbers are exact in floating point
-
-WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
-NonNegativeWhole = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
-PositiveWhole = Annotated[int, Meta(ge=1, le=MAX_WHOLE_NUMBER)]
 
 # Names that come from keys go into headers and messages as they are.
 _NAME = re.compile(r"[^\x00-\x1f\x7f\ud800-\udfff]+")
--- a/src/anvilhoist/site/replicas.py
+++ b/src/anvilhoist/site/replicas.py
@@ -29,9 +29,8 @@
     "fail", "limit", "leaving", "quiet", "gone",
 )  # fmt: skip
 QUIET_S = 2  # for which a replica wants no requests, under the fault "quiet"
-DEADLY_PATH = (
-    b"/deadly"  # a request with this in its path ends the replicas that run it
-)
+# A request with this in its path ends the replicas that run it.
+DEADLY_PATH = b"/deadly"
 DOWN_S = 2.0  # time for which a replica that ended accepts no connection
 SLOWDOWN_FACTOR = 8.0  # Multiplies the time of a request under the fault "slow".
 RATE_LIMIT_PER_S = 2.0  # for all VMs together, under the fault "limit"
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -185,7 +185,7 @@
         if len(self._former) > MAX_FORMER_REPLICAS:
             self._former.popitem(last=False)
         del self.by_instance[instance]
-        self._health_classes.pop(replica.entry.instance, None)
+        self._health_classes.pop(instance, None)
         self._by_service[replica.entry.service].remove(replica)
         replica.retire()
 
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -9,6 +9,7 @@
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection
 from ..http.exchange import Outcome, Reply, ResponseMatcher, ServerConnection
+from ..tasks import start_task
 from ..world.model import ReplicaEntry
 from .health import PROBE_INTERVAL_S, Health
 from .quota import ReplicaQuota
@@ -194,20 +195,13 @@
         """
         self._end_listeners.append(on_ended)
         if len(self._end_listeners) == 1:
-            task = asyncio.get_running_loop().create_task(self._check_end())
-            self._connect_tasks.add(task)
-            task.add_done_callback(self._connect_tasks.discard)
+            start_task("end check", self._check_end())
 
     async def _check_end(self) -> None:
-        self.connection_count += 1
         ended = False
         try:
-            connection = await open_connection(
-                self.entry.address, END_CHECK_TIMEOUT_S, self._on_connection_closed
-            )
-            self._return_to_pool(connection)
+            self._return_to_pool(await self._connect(END_CHECK_TIMEOUT_S))
         except OSError:
-            self.connection_count -= 1
             ended = True
         listeners, self._end_listeners = self._end_listeners, []
         for on_ended in listeners if ended else ():
@@ -231,6 +225,18 @@
                 self._idle_connections.remove(connection)
                 connection.abort()
 
+    async def _connect(self, timeout_s: float) -> ServerConnection:
+        """Open a connection, which counts from its beginning to its close."""
+        self.connection_count += 1
+        self.connections_opened += 1
+        try:
+            return await open_connection(
+                self.entry.address, timeout_s, self._on_connection_closed
+            )
+        except (OSError, asyncio.CancelledError):
+            self.connection_count -= 1
+            raise
+
     async def _connect_and_send(
         self,
         exchange: Exchange,
@@ -238,23 +244,15 @@
         matches: ResponseMatcher,
         on_outcome: Callable[[Exchange, Outcome], None],
     ) -> None:
-        self.connection_count += 1
-        self.connections_opened += 1
         try:
-            connection = await open_connection(
-                self.entry.address, CONNECT_TIMEOUT_S, self._on_connection_closed
-            )
+            connection = await self._connect(CONNECT_TIMEOUT_S)
         except OSError as error:
-            self.connection_count -= 1
             if exchange.done:
                 return
             timed_out = isinstance(error, TimeoutError)
             self._finish_exchange(exchange, answered=not timed_out, failed=True)
             on_outcome(exchange, Failure(ErrorKind.CONNECT_FAILED, repr(error)))
             return
-        except asyncio.CancelledError:
-            self.connection_count -= 1
-            raise
         if exchange.done:
             self._return_to_pool(connection)
             return
--- a/src/anvilhoist/validation.py
+++ b/src/anvilhoist/validation.py
@@ -8,6 +8,7 @@
 from msgspec import Meta
 
 MAX_NUMBER = 1e15  # bound of the float types below; it also rejects non-finite values
+MAX_WHOLE_NUMBER = 2**53  # up to this, whole numbers are exact in floating point
 
 _OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _IPV4 = rf"({_OCTET}\.){{3}}{_OCTET}"
@@ -20,6 +21,9 @@
 NonNegative = Annotated[float, Meta(ge=0, le=MAX_NUMBER)]
 Positive = Annotated[float, Meta(gt=0, le=MAX_NUMBER)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+WholeNumber = Annotated[int, Meta(ge=-MAX_WHOLE_NUMBER, le=MAX_WHOLE_NUMBER)]
+NonNegativeWhole = Annotated[int, Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+PositiveWhole = Annotated[int, Meta(ge=1, le=MAX_WHOLE_NUMBER)]
 Ipv4Text = Annotated[str, Meta(pattern=rf"^{_IPV4}\Z")]
 # IP address and port.
 Address = Annotated[str, Meta(pattern=rf"^{_IPV4}:{_PORT}\Z")]
--- a/src/anvilhoist/world/changes.py
+++ b/src/anvilhoist/world/changes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .model import Change, ConfigurationChanged
 
@@ -17,6 +17,7 @@
     from_revision: int
     to_revision: int
     changes: tuple[Change, ...]
+    has_configuration: bool
 
 
 @dataclass(slots=True)
@@ -41,10 +42,13 @@
         """
         if revision > self.revision:
             self._drop_empty_step()
-            self._steps.append(_RevisionStep(self.revision, revision, tuple(changes)))
+            configures = any(isinstance(c, ConfigurationChanged) for c in changes)
+            self._steps.append(
+                _RevisionStep(self.revision, revision, tuple(changes), configures)
+            )
             self._change_count += len(changes)
             self.revision = revision
-            if any(isinstance(change, ConfigurationChanged) for change in changes):
+            if configures:
                 self._keep_newest_configuration()
         while self._change_count > MAX_KEPT_CHANGES:
             self._change_count -= len(self._steps.popleft().changes)
@@ -90,6 +94,7 @@
         configurations = [
             change
             for step in self._steps
+            if step.has_configuration
             for change in step.changes
             if isinstance(change, ConfigurationChanged)
         ]
@@ -97,14 +102,13 @@
         kept: deque[_RevisionStep] = deque()
         from_revision = self._steps[0].from_revision
         for step in self._steps:
-            changes = tuple(
-                change
-                for change in step.changes
-                if change is newest or not isinstance(change, ConfigurationChanged)
-            )
-            if not changes and step is not self._steps[-1]:
+            if step.has_configuration:
+                step = _drop_configurations(step, newest)
+            if not step.changes and step.to_revision != self.revision:
                 continue
-            kept.append(_RevisionStep(from_revision, step.to_revision, changes))
+            if step.from_revision != from_revision:
+                step = replace(step, from_revision=from_revision)
+            kept.append(step)
             from_revision = step.to_revision
         self._steps = kept
         self._change_count = sum(len(step.changes) for step in kept)
@@ -119,3 +123,16 @@
         for synced in self._waiters:
             if not synced.done():
                 synced.set_result(None)
+
+
+def _drop_configurations(
+    step: _RevisionStep, kept: ConfigurationChanged
+) -> _RevisionStep:
+    """Return a step without its configurations, except for one."""
+    changes = tuple(
+        change
+        for change in step.changes
+        if change is kept or not isinstance(change, ConfigurationChanged)
+    )
+    keeps = any(change is kept for change in changes)
+    return replace(step, changes=changes, has_configuration=keeps)
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -134,14 +134,14 @@
         last_contact_at = self._find_last_contact()
         outage_s = now - last_contact_at
         self._store_answered_at = now
-        if self._in_contact_since is None or outage_s > MAX_UNNOTICED_GAP_S:
+        longest_s = MIN_OUTAGE_S if self.store_lost else MAX_UNNOTICED_GAP_S
+        if self._in_contact_since is None or outage_s > longest_s:
             self._in_contact_since = now
         if not self.store_lost:
             return
         self.store_lost = False
         structlog.get_logger().info("store_regained", outage_s=round(outage_s, 2))
         if outage_s > MIN_OUTAGE_S:
-            self._in_contact_since = now
             self.view.start_grace_period(outage_s)
 
     def _has_long_contact(self) -> bool:
