Share the fixture that quiets logs, and the outage of the store

Three tests began an outage of the store by the same lines: Zone.lose_store. No assertion was changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
+import logging
 import os
 from pathlib import Path
 
 import pytest
+import structlog
 from hypothesis import settings
 
 settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
@@ -16,6 +18,16 @@
 WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 
 
+@pytest.fixture
+def quiet_logs():
+    """Log nothing below errors: played fleets log thousands of lines."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    yield
+    structlog.reset_defaults()
+
+
 def read_known_red() -> dict[str, str]:
     """Return the entries of KNOWN-RED.txt by the id of their test."""
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -1,11 +1,9 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from itertools import pairwise
 
 import pytest
-import structlog
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -134,6 +132,7 @@
             assert count_window(extras, end) <= allowed
 
 
+@pytest.mark.usefixtures("quiet_logs")
 class TestFleetBudget:
     """Load: queries at all VMs while the replicas of one shard reject many of them."""
 
@@ -142,14 +141,6 @@
     FAULT_AT = 15.0
     FAULT_S = 12.0
 
-    @pytest.fixture(autouse=True)
-    def quiet_logs(self):
-        structlog.configure(
-            wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-        )
-        yield
-        structlog.reset_defaults()
-
     def count_most_over(self, monkeypatch, seed: int, act) -> float:
         """Return by how much a window's extra arrivals exceed their limit, at most."""
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from dataclasses import replace
 
 import pytest
-import structlog
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -22,21 +20,14 @@
 from virtual_fleet import GATHER_ROUTE, SINGLE_ROUTE, VirtualFleet
 from virtual_time import run_in_virtual_time
 
+pytestmark = pytest.mark.usefixtures("quiet_logs")
+
 WINDOW_S = 4.0
 GRACE_S = 4.0  # after a replica first named a limit, for all VMs to follow
 EXCESS_RATIO = 1.5  # of the limit, that a replica may get in a window
 EXCESS_REQUESTS = 5  # besides
 
 
-@pytest.fixture(autouse=True)
-def quiet_logs():
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-    )
-    yield
-    structlog.reset_defaults()
-
-
 def count_allowed(limit: float) -> float:
     """Return how many requests a replica may get in a window."""
     return EXCESS_RATIO * limit * WINDOW_S + EXCESS_REQUESTS
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -184,6 +184,13 @@
                 self.store.cut.discard(number)
                 await asyncio.sleep(LINK_UP_S)
 
+    async def lose_store(self, outage_s: float) -> None:
+        """Take the store from all VMs for a while, in which an entry lapses."""
+        self.store.cut.update(range(3))
+        await asyncio.sleep(outage_s)
+        self.store.put(ReplicaRemoved(ENTRY.instance))
+        self.store.cut.clear()
+
     async def change_often(self) -> None:
         """Write a change three times a second, until cancelled."""
         while True:
@@ -262,10 +269,7 @@
         self, play, outage_s
     ):
         async def act(zone):
-            zone.store.cut.update(range(3))
-            await asyncio.sleep(outage_s)
-            zone.store.put(ReplicaRemoved(ENTRY.instance))
-            zone.store.cut.clear()
+            await zone.lose_store(outage_s)
             watched = [
                 asyncio.create_task(zone.measure_use(number, RETURN_S + 1.0))
                 for number in range(3)
@@ -278,10 +282,7 @@
 
     def test_relay_that_restarts_after_an_outage_confirms_nothing(self, play):
         async def act(zone):
-            zone.store.cut.update(range(3))
-            await asyncio.sleep(6.0)
-            zone.store.put(ReplicaRemoved(ENTRY.instance))
-            zone.store.cut.clear()
+            await zone.lose_store(6.0)
             await asyncio.sleep(0.6)
             zone.start(1)
             watched = asyncio.create_task(zone.measure_use(Zone.FOLLOWER, RETURN_S))
@@ -293,10 +294,7 @@
 
     def test_entry_that_does_not_return_after_an_outage_is_dropped(self, play):
         async def act(zone):
-            zone.store.cut.update(range(3))
-            await asyncio.sleep(6.0)
-            zone.store.put(ReplicaRemoved(ENTRY.instance))
-            zone.store.cut.clear()
+            await zone.lose_store(6.0)
             uses = [zone.measure_use(number, 10.0) for number in range(3)]
             return await asyncio.gather(*uses)
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import Counter
 
 import pytest
-import structlog
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -25,19 +23,12 @@
 from virtual_fleet import GATHER_ROUTE, RESTART_S, SHARDS, SINGLE_ROUTE, VirtualFleet
 from virtual_time import run_in_virtual_time
 
+pytestmark = pytest.mark.usefixtures("quiet_logs")
+
 DEADLY = b"/deadly"
 RATE = 40
 
 
-@pytest.fixture(autouse=True)
-def quiet_logs():
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
-    )
-    yield
-    structlog.reset_defaults()
-
-
 class TestSuspectList:
     def make(self) -> SuspectList:
         self.at = 100.0
--- a/tests/test_wishes.py
+++ b/tests/test_wishes.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 
 import pytest
-import structlog
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +14,8 @@
 from virtual_fleet import GATHER_ROUTE, SINGLE_ROUTE, VirtualFleet
 from virtual_time import run_in_virtual_time
 
+pytestmark = pytest.mark.usefixtures("quiet_logs")
+
 RATE = 60
 REPLICA = "shard-0-0"
 DRAIN_S = 3.0  # time after which a replica that said that it leaves gets nothing
@@ -23,15 +23,6 @@
 MOST_IN_QUIET = 2  # requests of one VM
 
 
-@pytest.fixture(autouse=True)
-def quiet_logs():
-    structlog.configure(
-        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
-    )
-    yield
-    structlog.reset_defaults()
-
-
 def play(monkeypatch, act, route=GATHER_ROUTE, vms=4, copies=2, seconds=20.0):
     async def main():
         fleet = VirtualFleet(monkeypatch, vms, copies)
