--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -558,6 +558,11 @@
         self._count = 0
         self._reader = self._writer = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the next request uses a kept connection."""
+        return self._writer is not None
+
     async def send(
         self, target: str, deadline_s: float, method: str = "GET", body: bytes = b"",
         wait_s: float | None = None,
