--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,105 +1,165 @@
-"""A storm of changes of a large configuration; no front learns the newest one."""
+"""Replicas send bodies without end; the fronts outgrow their machines' memory."""
 
 import asyncio
+import random
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from standins import HOST_NAME, CannotRun, Client, Deployment, Record, run_case  # noqa: E402
-
-# Routes besides the one that is probed: `op/config` then has some 1.0 MB, below
-# `value-bytes` (1,048,576).
-IDLE_ROUTES = 4500
-VALUE_BYTES = 1_048_576
-# `config_storm` on the site: a change each 0.08 s for 2 s.
-STORM_GAP_S = 0.08
-STORM_S = 2.0
-CONTACT_S = 4.0  # without disruption before the storm; `contact-ms`
-CONFIG_APPLY_S = 3.0  # `config-apply-ms`
-WATCHED_S = 30.0  # after the last change
-PROBE_INTERVAL_S = 0.5
-TARGETS = ("/read/x", "/added/x")  # moved, and added, by the last change
-WAIT_WITHOUT_TROUBLE_S = 1.0  # between two changes, where they don't come in a storm
-
-
-def make_routes(service: str, change: int, is_last: bool = False) -> list[dict]:
-    """Return all routes; `service` gets the requests below /read/.
-
-    The last version has one more, below /added/.
-    """
-    common = {
-        "hostname": HOST_NAME, "route-type": "idempotent", "target-latency-ms": 400,
-        "max-attempts": 2, "priority": 1,
-    }  # fmt: skip
-    routes = [
-        common
-        | {
-            "name": f"idle-route-{n:05d}-of-the-owner", "path-prefix": f"/idle{n:05d}/",
-            "timeout-ms": 2000, "backend": "old",
-        }  # fmt: skip
-        for n in range(IDLE_ROUTES)
-    ]
-    probed = common | {"name": "read", "path-prefix": "/read/", "backend": service}
-    if is_last:
-        added = {"name": "added", "path-prefix": "/added/", "timeout-ms": 2000}
-        routes.append(common | added | {"backend": "new"})
-    return [probed | {"timeout-ms": 2000 + change}, *routes]
+from standins import HOST_NAME, Client, Deployment, Front, Record, run_case
+
+SHARDS = [f"sortering-{n}" for n in range(20)]
+REPLICAS_PER_SHARD = 2
+QUERIES_PER_S = 44.9  # 33.7 + 11.2, as on the sheet, for all machines together
+WORK_S = 0.035  # the mean of the two kinds of query on the sheet
+CLIENTS = 40
+MEMORY_MB = {"vaxjo": 430, "ljungby": 300}  # of the site's machines
+LOAD_S = 100.0
+# `garble` on the site: share 0.5, x 0.04, for 5 s, more than once.
+GARBLE_SHARE = 0.5
+GARBLE_X = 0.04
+GARBLE_S = 5.0
+GARBLE_PAUSE_S = 1.0
+LOST_MAX = 3  # at one machine
+RESTART_DELAY_S = 0.5
+WATCH_INTERVAL_S = 0.02
+BLOCK = b"10000\r\n" + b"x" * 65536 + b"\r\n"
+
+
+class Trouble:
+    """Switch of the trouble, replicas in trouble, and endless answers begun."""
+
+    on = False
+    begun = 0
+    instances: frozenset[str] = frozenset()
+
+
+async def send_without_end(replica, request, writer):
+    """Answer as a replica in trouble: a body that goes on until the caller closes."""
+    if not Trouble.on or random.random() >= GARBLE_X:
+        return None
+    Trouble.begun += 1
+    attempt = request.headers.get("x-attempt-id", "")
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        % attempt.encode()
+    )
+    while True:
+        writer.write(BLOCK)
+        await writer.drain()
+
+
+async def keep_to_memory(
+    deployment: Deployment, front: Front, record: Record, ends: list
+):
+    """Do what the platform does: kill a process over its memory, start it again."""
+    limit = MEMORY_MB[front.zone] * 2**20 / 1e6
+    while True:
+        used = front.resident_mb()
+        if front.process.poll() is not None or used > limit:
+            record.write(
+                "ends", front=front.number, zone=front.zone, resident_mb=round(used),
+                limit_mb=round(limit), by_itself=front.process.poll(),
+            )  # fmt: skip
+            ends.append(front.number)
+            front.signal(signal.SIGKILL)
+            front.process.wait()
+            await asyncio.sleep(RESTART_DELAY_S)
+            front.start()
+            await deployment.wait_ready(front)
+            record.write("ready", front=front.number)
+        await asyncio.sleep(WATCH_INTERVAL_S)
+
+
+def count_sound_runs(deployment: Deployment, attempt: str) -> int:
+    """Return how many replicas without trouble have run a request."""
+    return sum(
+        found == attempt
+        for replica in deployment.replicas
+        if replica.instance not in Trouble.instances
+        for found, _ in replica.runs
+    )
+
+
+async def run_client(
+    deployment: Deployment, record: Record, name: str, end: float, counts: dict
+):
+    """Send queries on kept connections until the end; another front after a loss."""
+    client = Client(random.choice(deployment.fronts), name)
+    lost = counts["lost"]
+    while time.monotonic() < end:
+        await asyncio.sleep(random.expovariate(QUERIES_PER_S / CLIENTS))
+        was_kept = client.is_open
+        answer = await client.send(f"/search/{name}", 2.0)
+        key = str(answer.status or "none")
+        counts[key] = counts.get(key, 0) + 1
+        if answer.status not in (0, 503):
+            continue
+        if not answer.status:
+            runs = count_sound_runs(deployment, answer.attempt)
+            is_lost = was_kept and runs > 0 and answer.why != "timeout"
+            lost[client.front.number] += is_lost
+            record.write(
+                "no_answer", attempt=answer.attempt, front=client.front.number,
+                on_kept_connection=was_kept, runs_at_sound_replicas=runs,
+                why=answer.why, lost=is_lost,
+            )  # fmt: skip
+        client.close()
+        client.front = random.choice(deployment.fronts)
+    client.close()
 
 
 async def case(deployment: Deployment, record: Record, trouble: bool) -> int:
-    """Change the configuration and see which service runs requests after that."""
+    """Run the load with and without the trouble; return the exit code."""
     await deployment.start_store()
-    services = ["old", "new"]
-    for service in services:
-        for _ in range(2):
-            await deployment.add_replica(service)
-    deployment.publish(make_routes("old", 0), services)
-    size = len(deployment.store.items["op/config"][0])
-    if size > VALUE_BYTES:
-        raise CannotRun("the configuration is larger than the store allows")
-    record.write("configuration", value_bytes=size)
-    await deployment.start_fronts(2)
-    await asyncio.sleep(CONTACT_S)
-    changes = int(STORM_S / STORM_GAP_S)
-    for change in range(1, changes):
-        deployment.publish(make_routes("old", change), services)
-        await asyncio.sleep(STORM_GAP_S if trouble else WAIT_WITHOUT_TROUBLE_S)
-    # The last change moves the route to the other service, and adds a route.
-    deployment.publish(make_routes("new", changes, is_last=True), services)
-    confirmed_at = time.monotonic()
-    record.write("confirmed", version=deployment.version)
-    clients = [Client(front, f"f{front.number}") for front in deployment.fronts]
-    late = dict.fromkeys(TARGETS, 0)
-    while (after := time.monotonic() - confirmed_at) < WATCHED_S:
-        for client in clients:
-            for target in TARGETS:
-                sent_after = time.monotonic() - confirmed_at
-                answer = await client.send(target, 2.0)
-                ran = [
-                    replica.service
-                    for replica in deployment.replicas
-                    if any(attempt == answer.attempt for attempt, _ in replica.runs)
-                ]
-                is_old = "old" in ran or answer.status == 404
-                too_late = sent_after > CONFIG_APPLY_S and is_old
-                late[target] += too_late
-                record.write(
-                    "request", front=client.front.number, target=target,
-                    sent_after_s=round(sent_after, 2), status=answer.status,
-                    ran_by=ran, too_late=too_late,
-                )  # fmt: skip
-        await asyncio.sleep(PROBE_INTERVAL_S)
-        if not trouble and after > 3 * CONFIG_APPLY_S:
-            break
-    record.write("handled_by_an_older_version_too_late", **{
-        name.strip("/").replace("/", "_"): count for name, count in late.items()
-    })  # fmt: skip
+    for service in SHARDS:
+        for _ in range(REPLICAS_PER_SHARD):
+            await deployment.add_replica(service, slots=3, queue=18, work_s=WORK_S)
+    route = {
+        "name": "pigment-lot-search", "hostname": HOST_NAME, "path-prefix": "/search/",
+        "route-type": "idempotent", "timeout-ms": 2000, "target-latency-ms": 200,
+        "max-attempts": 2, "priority": 1, "gather": SHARDS, "top-k": 50,
+        "min-shard-ratio": 0.89,
+    }  # fmt: skip
+    deployment.publish([route], SHARDS)
+    await deployment.start_fronts(2, ("vaxjo", "ljungby"))
+    record.write("ready")
+    ends: list[int] = []
+    counts: dict = {"lost": [0] * len(deployment.fronts)}
+    end = time.monotonic() + LOAD_S
+    watchers = [
+        asyncio.create_task(keep_to_memory(deployment, front, record, ends))
+        for front in deployment.fronts
+    ]
+    clients = [
+        asyncio.create_task(run_client(deployment, record, f"c{n}", end, counts))
+        for n in range(CLIENTS)
+    ]
+    bad = random.sample(
+        deployment.replicas, int(GARBLE_SHARE * len(deployment.replicas))
+    )
+    Trouble.instances = frozenset(replica.instance for replica in bad)
+    for replica in bad if trouble else ():
+        replica.fault = send_without_end
+    while time.monotonic() < end:
+        Trouble.on = True
+        record.write("garble_begins", endless=Trouble.begun)
+        await asyncio.sleep(GARBLE_S)
+        Trouble.on = False
+        sizes = [round(front.resident_mb()) for front in deployment.fronts]
+        record.write("garble_ends", endless=Trouble.begun, resident_mb=sizes)
+        await asyncio.sleep(GARBLE_PAUSE_S)
+    await asyncio.gather(*clients)
+    for watcher in watchers:
+        watcher.cancel()
+    lost = counts.pop("lost")
+    record.write("answers", **counts)
     for front in deployment.fronts:
-        for line in front.log_path.read_text().splitlines():
-            if "store_lost" in line or "store_history_gone" in line:
-                record.write("log", front=front.number, line=line.replace(" ", "_"))
-    return 1 if any(late.values()) else 0
+        number = front.number
+        record.write("total", front=number, ends=ends.count(number), lost=lost[number])
+    return 1 if max(lost) > LOST_MAX else 0
 
 
 run_case(case)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -342,16 +342,14 @@
             if kept is not None:
                 return kept
         digest, body = make_part(self.service, attempt, records)
-        self.reply(
-            writer, attempt, "200 OK", body, {"X-Response-Signature": digest}
-        )
+        self.reply(writer, attempt, "200 OK", body, {"X-Response-Signature": digest})
         await writer.drain()
         return True
 
     def reply(self, writer, attempt, status, body, headers) -> None:
         """Write one response."""
-        fixed = {"X-Attempt-Id": attempt,
-                 "X-Server-Load": f"{self.running},{self.waiting},{self.slots}"}  # fmt: skip
+        load = f"{self.running},{self.waiting},{self.slots}"
+        fixed = {"X-Attempt-Id": attempt, "X-Server-Load": load}
         writer.write(encode(f"HTTP/1.1 {status}", fixed | self.extra | headers, body))
 
 
@@ -479,7 +477,7 @@
             if status == 200:
                 return
             await asyncio.sleep(0.05)
-        raise CannotRun(f"front {front.number} did not get ready")
+        raise CannotRunError(f"front {front.number} did not get ready")
 
     async def ask_ready(self, front: Front) -> int:
         """Ask a front as the platform does; return the status."""
@@ -521,7 +519,7 @@
         return "\n".join(lines) + "\n"
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case could not run."""
 
 
@@ -615,7 +613,7 @@
     code = 2
     try:
         code = asyncio.run(case(deployment, record, trouble))
-    except CannotRun as error:
+    except CannotRunError as error:
         record.write("cannot_run", why=str(error))
     finally:
         deployment.stop()
