Put requests to servers and their outcomes in a module of their own

Change: `http.replies` has Reply, Outcome, ServerRequest, ResponseMatcher and has_failed_with; `http.tcp_info` (before: round_trip) has all that is read from TCP_INFO, the kind of a close too. No line of logic changed. It makes room for parsing replies in slices.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -11,8 +11,8 @@
 
 from ..errors import ErrorKind
 from ..http.client_budget import ClientBudget
-from ..http.exchange import Outcome, Reply, ServerRequest
 from ..http.messages import Headers
+from ..http.replies import Outcome, Reply, ServerRequest
 from ..metrics import Metrics
 from ..platform.edge import (
     classify_reply,
--- a/src/anvilhoist/forward/gate.py
+++ b/src/anvilhoist/forward/gate.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from ..errors import ErrorKind
-from ..http.exchange import Outcome, has_failed_with
+from ..http.replies import Outcome, has_failed_with
 from ..upstreams.replica import Exchange
 from .call import Verdict
 
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from ..errors import ErrorKind
-from ..http.exchange import Outcome, has_failed_with
+from ..http.replies import Outcome, has_failed_with
 from ..platform.edge import read_digest
 from ..upstreams.replica import Exchange, Replica
 from ..world.model import Gather, Route
--- a/src/anvilhoist/forward/result.py
+++ b/src/anvilhoist/forward/result.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind
-from ..http.exchange import Reply
+from ..http.replies import Reply
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/anvilhoist/forward/shard.py
+++ b/src/anvilhoist/forward/shard.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..errors import ErrorKind
-from ..http.exchange import Outcome, has_failed_with
+from ..http.replies import Outcome, has_failed_with
 from ..upstreams.replica import Exchange, Replica
 from .call import NOT_EXECUTED_VERDICTS, Verdict
 
--- a/src/anvilhoist/http/caller_connection.py
+++ b/src/anvilhoist/http/caller_connection.py
@@ -16,7 +16,7 @@
 from .parse_queue import SLICE_BYTES
 from .request_reader import RequestReader
 from .response_writer import ResponseWriter
-from .round_trip import read_round_trip
+from .tcp_info import read_round_trip
 
 if TYPE_CHECKING:
     from .server import HttpServer
--- a/src/anvilhoist/http/connect.py
+++ b/src/anvilhoist/http/connect.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections.abc import Callable
 
-from .exchange import Outcome, ServerConnection, ServerRequest
+from .exchange import ServerConnection
 from .messages import Headers
+from .replies import Outcome, ServerRequest
 
 
 def _ignore_close(connection: ServerConnection) -> None:
--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -5,7 +5,6 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import httptools
 
@@ -13,6 +12,8 @@
 from .body import Body
 from .client_budget import HEADER_BYTES, ClientBudget, MemoryAccount
 from .messages import BODILESS_STATUSES, JOINED_BODY_BYTES, Headers, find_header
+from .replies import Outcome, Reply, ResponseMatcher, ServerRequest
+from .tcp_info import closed_gracefully
 
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long
 # (TCP_USER_TIMEOUT).
@@ -21,69 +22,6 @@
 MAX_RESPONSE_BODY_BYTES = 4 << 20  # bodies, those of discarded responses included
 MAX_FRAMING_BYTES = 256 << 10  # all else: heads, interim responses, chunk framing
 HTTP_STATUSES = range(100, 600)
-TCP_CLOSE_WAIT = 8  # TCP_INFO state of a connection that received a FIN
-
-ResponseMatcher = Callable[[int, Headers], bool]
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """A complete response of a server.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status code.
-    headers : list of tuple of bytes
-        Names in lower case.
-    body : bytes
-        Complete body.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-Outcome = Reply | Failure
-
-
-@dataclass(frozen=True, slots=True)
-class ServerRequest:
-    """A request to a server.
-
-    Attributes
-    ----------
-    head, body : bytes
-        The request's bytes; the body may be part of the head. A long one is not copied.
-    matches : callable
-        Tells, from status and headers, whether a response is to this request.
-    budget : ClientBudget or None
-        Counts what is received for the request; None if no client is the cause of it.
-    """
-
-    head: bytes
-    matches: ResponseMatcher
-    body: bytes = b""
-    budget: ClientBudget | None = None
-
-
-def closed_gracefully(connection: socket.socket) -> bool:
-    """Return whether the peer closed a connection rather than reset it.
-
-    An event loop may report the end of the stream in both cases, so the TCP state
-    decides.
-    """
-    try:
-        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-    except OSError:
-        return False
-    return info[0] == TCP_CLOSE_WAIT
-
-
-def has_failed_with(outcome: Outcome, kind: ErrorKind) -> bool:
-    """Return whether there is no response, and this is why."""
-    return isinstance(outcome, Failure) and outcome.kind is kind
 
 
 class ServerConnection(asyncio.Protocol):
--- /dev/null
+++ b/src/anvilhoist/http/replies.py
@@ -0,0 +1,59 @@
+"""Requests to servers, and what becomes of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ..errors import ErrorKind, Failure
+from .client_budget import ClientBudget
+from .messages import Headers
+
+ResponseMatcher = Callable[[int, Headers], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A complete response of a server.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    headers : list of tuple of bytes
+        Names in lower case.
+    body : bytes
+        Complete body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+Outcome = Reply | Failure
+
+
+@dataclass(frozen=True, slots=True)
+class ServerRequest:
+    """A request to a server.
+
+    Attributes
+    ----------
+    head, body : bytes
+        The request's bytes; the body may be part of the head. A long one is not copied.
+    matches : callable
+        Tells, from status and headers, whether a response is to this request.
+    budget : ClientBudget or None
+        Counts what is received for the request; None if no client is the cause of it.
+    """
+
+    head: bytes
+    matches: ResponseMatcher
+    body: bytes = b""
+    budget: ClientBudget | None = None
+
+
+def has_failed_with(outcome: Outcome, kind: ErrorKind) -> bool:
+    """Return whether there is no response, and this is why."""
+    return isinstance(outcome, Failure) and outcome.kind is kind
--- a/src/anvilhoist/peers/exchange.py
+++ b/src/anvilhoist/peers/exchange.py
@@ -10,8 +10,9 @@
 
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection, send_request
-from ..http.exchange import Outcome, ServerConnection
+from ..http.exchange import ServerConnection
 from ..http.messages import Request, Response, encode_request
+from ..http.replies import Outcome
 from ..world.source import HistoryGone
 from ..world.view import View
 from .messages import ViewMessage, decode_view, encode_view, pack_change
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -9,7 +9,6 @@
 from urllib.parse import parse_qs
 
 from ..forward.call import Call, Verdict
-from ..http.exchange import Reply, ResponseMatcher
 from ..http.messages import (
     Headers,
     Request,
@@ -18,6 +17,7 @@
     find_header,
     strip_hop_by_hop_headers,
 )
+from ..http.replies import Reply, ResponseMatcher
 from . import names
 
 MS_PER_S = 1000.0
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -12,8 +12,9 @@
 
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection, send_request
-from ..http.exchange import Reply, ServerConnection
+from ..http.exchange import ServerConnection
 from ..http.messages import encode_request
+from ..http.replies import Reply
 from ..world.model import Change, DataCentreChanged, Snapshot
 from ..world.source import ChangeBatch, HistoryGone
 from . import names
--- a/src/anvilhoist/searches/exchange.py
+++ b/src/anvilhoist/searches/exchange.py
@@ -9,8 +9,8 @@
 
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection, send_request
-from ..http.exchange import Outcome, Reply
 from ..http.messages import encode_request
+from ..http.replies import Outcome, Reply
 from ..peers.exchange import CONNECT_TIMEOUT_S
 from ..peers.members import Members
 from .messages import DEADLINE_DEFAULT_MS, BookingCall, IssuerAnswer
--- a/src/anvilhoist/site/caller.py
+++ b/src/anvilhoist/site/caller.py
@@ -9,8 +9,9 @@
 from ..clock import read_boottime
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection, send_request
-from ..http.exchange import Outcome, Reply, ServerConnection
+from ..http.exchange import ServerConnection
 from ..http.messages import encode_request, find_header
+from ..http.replies import Outcome, Reply
 from ..platform import names
 from ..platform.publish import decode_addresses, make_resolve_target
 from .parts import find_merge_error, make_digest, make_records
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -8,13 +8,8 @@
 
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection
-from ..http.exchange import (
-    Outcome,
-    Reply,
-    ServerConnection,
-    ServerRequest,
-    has_failed_with,
-)
+from ..http.exchange import ServerConnection
+from ..http.replies import Outcome, Reply, ServerRequest, has_failed_with
 from ..tasks import start_task
 from ..world.model import ReplicaEntry
 from .health import PROBE_INTERVAL_S, Health
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -12,9 +12,9 @@
 from anvilhoist.forward.call import Call, Verdict
 from anvilhoist.forward.context import Context
 from anvilhoist.forward.gather import GatherRun
-from anvilhoist.http.exchange import Reply
 from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request
+from anvilhoist.http.replies import Reply
 from anvilhoist.metrics import Metrics
 from anvilhoist.upstreams.budget import RetryBudget, RetryBudgetLimits
 from anvilhoist.upstreams.health import EXTRA_PROBE_INTERVAL_S
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -16,8 +16,8 @@
 from hypothesis import strategies as st
 
 from anvilhoist.errors import Failure
-from anvilhoist.http.exchange import Reply
 from anvilhoist.http.messages import Request, Response
+from anvilhoist.http.replies import Reply
 from anvilhoist.http.server import HttpServer
 from anvilhoist.peers.heartbeats import HeartbeatEndpoint
 from anvilhoist.peers.limits import apply_limit_reports, collect_limit_reports
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -9,14 +9,10 @@
 
 from anvilhoist.errors import ErrorKind, Failure
 from anvilhoist.http.connect import open_connection
-from anvilhoist.http.exchange import (
-    MAX_FRAMING_BYTES,
-    MAX_RESPONSE_BODY_BYTES,
-    Reply,
-    ServerRequest,
-    closed_gracefully,
-)
+from anvilhoist.http.exchange import MAX_FRAMING_BYTES, MAX_RESPONSE_BODY_BYTES
 from anvilhoist.http.messages import find_header
+from anvilhoist.http.replies import Reply, ServerRequest
+from anvilhoist.http.tcp_info import closed_gracefully
 
 EXPECTED_ID = b"ours"
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0 s
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -6,7 +6,7 @@
 
 from anvilhoist.errors import ERROR_RESPONSES, Executed
 from anvilhoist.forward.result import Refusal
-from anvilhoist.http.exchange import Reply
+from anvilhoist.http.replies import Reply
 from anvilhoist.world.model import Route
 from virtual_fleet import VirtualFleet
 from virtual_time import run_in_virtual_time
--- a/tests/test_wishes.py
+++ b/tests/test_wishes.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from anvilhoist.errors import ErrorKind
-from anvilhoist.http.exchange import Reply
+from anvilhoist.http.replies import Reply
 from anvilhoist.platform.edge import MAX_QUIET_S, is_leaving, parse_quiet_time
 from virtual_fleet import GATHER_ROUTE, SINGLE_ROUTE, VirtualFleet
 from virtual_time import run_in_virtual_time
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -13,9 +13,9 @@
 from anvilhoist.forward.result import ForwardResult, GatherResult, Refusal
 from anvilhoist.front.process import Front
 from anvilhoist.front.settings import FrontSettings, Listen
-from anvilhoist.http.exchange import Reply, ServerRequest
 from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request
+from anvilhoist.http.replies import Reply, ServerRequest
 from anvilhoist.peers.heartbeats import HEARTBEAT_PERIOD_S
 from anvilhoist.peers.messages import VmState
 from anvilhoist.world.model import (
