Parse servers' replies in slices, in turn with each other

What callers saw: with replicas in trouble, every request of the VM stopped while one query's replies were parsed. 256 KB of a reply's short headers, or of chunks of one byte, are taken in one turn of the event loop, times the shards of the query.

Cause: clients' input has been parsed in slices since the crowds of clients were played; what servers send was still parsed as it came, and uvloop reads 256,000 bytes at a time.

A parser that raises no longer stops the queue.

--- a/src/anvilhoist/http/client_budget.py
+++ b/src/anvilhoist/http/client_budget.py
@@ -91,6 +91,8 @@
     ----------
     parsing : ParseQueue
         Turns of the event loop in which clients' input is parsed.
+    reply_parsing : ParseQueue
+        Turns in which servers' replies to clients' requests are parsed.
     held_bytes, connections : int
         Memory that is held now, and clients' connections that are open.
     shed_count : dict of int
@@ -100,6 +102,7 @@
     limits: ClientLimits = field(default_factory=ClientLimits)
     now: Callable[[], float] = read_boottime
     parsing: ParseQueue = field(default_factory=ParseQueue)
+    reply_parsing: ParseQueue = field(default_factory=ParseQueue)
     held_bytes: int = 0
     connections: int = 0
     shed_count: dict[str, int] = field(
--- a/src/anvilhoist/http/messages.py
+++ b/src/anvilhoist/http/messages.py
@@ -100,6 +100,14 @@
     return None
 
 
+def parse_keep_alive_timeout(headers: Headers) -> float | None:
+    """Return the timeout of the Keep-Alive header in seconds, or None without one."""
+    value = find_header(headers, b"keep-alive") or b""
+    _, _, seconds = value.partition(b"timeout=")
+    digits = seconds.split(b",")[0].strip()
+    return float(digits) if digits.isdigit() else None
+
+
 def strip_hop_by_hop_headers(headers: Headers, replaced: frozenset[bytes]) -> Headers:
     """Select the headers that may be forwarded to the next hop.
 
--- a/src/anvilhoist/http/parse_queue.py
+++ b/src/anvilhoist/http/parse_queue.py
@@ -1,4 +1,4 @@
-"""Turns of the event loop in which clients' input is parsed."""
+"""Turns of the event loop in which input from outside is parsed."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 TURN_BYTES = 4 * SLICE_BYTES  # parsed in one turn of the event loop, for all of them
 # Below this, what a turn may parse is renewed in the next one.
 RENEWED_BYTES = TURN_BYTES // 2
-# Slices of new requests that go before one slice of a request that goes on.
+# Slices of new messages that go before one slice of a message that goes on.
 NEW_PER_CONTINUED = 4
 
 
@@ -23,7 +23,7 @@
         """Whether there is input that may be parsed now."""
 
     def parse_slice(self, size_bytes: int) -> int:
-        """Parse some input and return how many bytes of it."""
+        """Parse some input and return its cost, in bytes of the costliest input."""
 
 
 @dataclass(slots=True)
@@ -32,7 +32,7 @@
 
     Input may cost a thousand times its usual processor time, for example in chunks of
     one byte. So a turn of the event loop parses a bounded number of bytes, in slices,
-    and new requests go before those that have had a slice already.
+    and new messages go before those that have had a slice already.
     """
 
     _new: deque[InputParser] = field(default_factory=deque)
@@ -47,6 +47,19 @@
         """Whether any input waits for a later turn."""
         return bool(self._waiting)
 
+    def has_room_for(self, size_bytes: int) -> bool:
+        """Return whether input may be parsed at once and charged afterwards.
+
+        This is a cheaper `submit` for input that fits in one slice.
+        """
+        return size_bytes <= SLICE_BYTES and self._bytes_left > 0 and not self._waiting
+
+    def charge(self, cost_bytes: int) -> None:
+        """Count input that was parsed at once."""
+        self._bytes_left -= cost_bytes
+        if self._bytes_left < RENEWED_BYTES:
+            self._schedule_turn()
+
     def submit(self, connection: InputParser, is_new: bool) -> None:
         """Parse a connection's input, now or in a later turn.
 
@@ -55,8 +68,8 @@
         connection : InputParser
             The connection; if it waits already, it keeps its place.
         is_new : bool
-            Whether its input begins a request, fits in a slice, and no request before
-            it is unanswered.
+            Whether its input begins a message and fits in a slice, and no request
+            before it is unanswered.
         """
         if connection in self._waiting:
             return
@@ -93,7 +106,10 @@
     def _begin_turn(self) -> None:
         self._bytes_left = TURN_BYTES
         self._is_turn_scheduled = False
-        while self._waiting and self._bytes_left > 0:
-            self._parse_slice(self._take_next())
-        if self._waiting:
-            self._schedule_turn()
+        try:
+            while self._waiting and self._bytes_left > 0:
+                self._parse_slice(self._take_next())
+        finally:
+            # An unexpected error in one connection must not stop the others.
+            if self._waiting:
+                self._schedule_turn()
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -20,6 +20,7 @@
 BODY_BYTES = 262_144  # `max-body-bytes` as callers know it
 # What clients may have done in one turn of the event loop, whatever they send.
 MAX_CALLBACKS_PER_TURN = 5000
+MAX_TURNS = 10_000  # patience until all input has been parsed
 WAIT_S = 30.0  # patience until something has happened
 LOOP_FACTORIES = (None, uvloop.new_event_loop)
 
@@ -53,6 +54,7 @@
             queue = ParseQueue()
             submit(queue, log)
             while log or queue.is_busy:
+                assert len(turns) < MAX_TURNS
                 turns.append(list(log))
                 log.clear()
                 await asyncio.sleep(0)
@@ -87,6 +89,21 @@
         turns = self.run(submit)
         assert ("new", 500) in turns[1]
 
+    def test_an_unexpected_error_does_not_stop_the_others(self):
+        class FailingParser(FakeParser):
+            def parse_slice(self, size_bytes: int) -> int:
+                super().parse_slice(size_bytes)
+                raise ZeroDivisionError
+
+        def submit(queue, log):
+            queue.submit(FakeParser(TURN_BYTES, log, "first"), is_new=False)
+            queue.submit(FailingParser(SLICE_BYTES, log, "failing"), is_new=False)
+            queue.submit(FakeParser(SLICE_BYTES, log, "last"), is_new=False)
+
+        parsed = [name for turn in self.run(submit) for name, _ in turn]
+        assert "failing" in parsed
+        assert "last" in parsed
+
     def test_requests_that_go_on_are_not_starved_by_new_ones(self):
         def submit(queue, log):
             for _ in range(2):
