Play answers without end of replicas, the store, VMs and a ticket's issuer

What operators of other systems saw: a faulty replica sent bytes that were no answer, without end, in a head or a body, until the caller closed; the machine that had called it kept them all and ran out of memory. Here only bodies without end were played on real processes; heads, bytes that are no HTTP, and the calls that go to no replica had only been tried by hand.

Cause, where one was found: the issuer of a ticket is asked for a client, but what it answers had no account in the clients' memory (`send_request` takes none).

Change: `send_request` takes the budget of clients, and asking an issuer passes it. The store and the VMs that are read through have none on purpose: they are at most four connections, which no client may shed. The soak draws them all.

--- a/src/anvilhoist/http/connect.py
+++ b/src/anvilhoist/http/connect.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
+from .client_budget import ClientBudget
 from .exchange import ServerConnection
 from .messages import Headers
 from .replies import Outcome, ServerRequest
@@ -45,7 +46,9 @@
     return connection
 
 
-async def send_request(connection: ServerConnection, data: bytes) -> Outcome:
+async def send_request(
+    connection: ServerConnection, data: bytes, budget: ClientBudget | None = None
+) -> Outcome:
     """Send a request and wait for its outcome, without a time limit.
 
     Any final response on the connection is taken as the response to this request.
@@ -56,6 +59,8 @@
         A connection that carries no request.
     data : bytes
         The request's bytes.
+    budget : ClientBudget or None
+        Counts what is received for the request; None if no client is the cause of it.
 
     Returns
     -------
@@ -68,7 +73,7 @@
         if not future.done():
             future.set_result(outcome)
 
-    connection.send(ServerRequest(data, _match_any), set_outcome)
+    connection.send(ServerRequest(data, _match_any, budget=budget), set_outcome)
     return await future
 
 
--- a/src/anvilhoist/searches/api.py
+++ b/src/anvilhoist/searches/api.py
@@ -125,7 +125,7 @@
             return parsed
         if parsed.ok.vm == self.tickets.vm:
             return await self._issuer.book(call)
-        return await ask_issuer(self.members, parsed.ok.vm, call)
+        return await self._ask_issuer(parsed.ok.vm, call)
 
     async def get_outcome(self, ticket: str) -> Result[str, Failure]:
         """Return the outcome of a ticket's booking, without running it."""
@@ -134,7 +134,7 @@
             return parsed
         if parsed.ok.vm == self.tickets.vm:
             return self._issuer.get_outcome(ticket)
-        return await ask_issuer(self.members, parsed.ok.vm, ticket)
+        return await self._ask_issuer(parsed.ok.vm, ticket)
 
     async def handle_peer_request(self, request: Request) -> Response:
         """Answer another VM's request about a ticket that this VM issued."""
@@ -152,6 +152,12 @@
             answer = IssuerAnswer(None, failure.kind.value, failure.detail)
         return Response(200, [], msgspec.json.encode(answer))
 
+    async def _ask_issuer(
+        self, vm: str, call_or_ticket: BookingCall | str
+    ) -> Result[str, Failure]:
+        budget = self.forwarder.context.client_budget
+        return await ask_issuer(self.members, vm, call_or_ticket, budget)
+
     def _find_route(self, service: str) -> Result[Route, Failure]:
         configuration = self.forwarder.context.view.configuration
         if configuration is None:
--- a/src/anvilhoist/searches/exchange.py
+++ b/src/anvilhoist/searches/exchange.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from ..errors import ErrorKind, Failure
+from ..http.client_budget import ClientBudget
 from ..http.connect import open_connection, send_request
 from ..http.messages import encode_request
 from ..http.replies import Outcome, Reply
@@ -20,7 +21,10 @@
 
 
 async def ask_issuer(
-    members: Members, vm: str, call_or_ticket: BookingCall | str
+    members: Members,
+    vm: str,
+    call_or_ticket: BookingCall | str,
+    budget: ClientBudget,
 ) -> Result[str, Failure]:
     """Ask the issuer of a ticket to run its booking, or for its outcome.
 
@@ -35,6 +39,8 @@
         Name of the VM that issued the ticket.
     call_or_ticket : BookingCall or str
         The booking, or the ticket whose outcome is requested.
+    budget : ClientBudget
+        Counts what is received, as a client is the cause of it.
 
     Returns
     -------
@@ -54,7 +60,9 @@
     timeout_s = (deadline_ms or DEADLINE_DEFAULT_MS) / 1000 + ISSUER_ANSWER_MARGIN_S
     try:
         async with asyncio.timeout(timeout_s):
-            outcome = await _send_to_issuer(recent[vm].peers_address, call_or_ticket)
+            outcome = await _send_to_issuer(
+                recent[vm].peers_address, call_or_ticket, budget
+            )
     except OSError as error:
         return Error(
             Failure(ErrorKind.OUTCOME_UNKNOWN, f"issuer {vm}: {type(error).__name__}")
@@ -62,13 +70,15 @@
     return _parse_answer(outcome, vm)
 
 
-async def _send_to_issuer(address: str, call_or_ticket: BookingCall | str) -> Outcome:
+async def _send_to_issuer(
+    address: str, call_or_ticket: BookingCall | str, budget: ClientBudget
+) -> Outcome:
     connection = await open_connection(address, CONNECT_TIMEOUT_S)
     headers = [(b"host", address.encode())]
     body = msgspec.json.encode(call_or_ticket)
     try:
         data = encode_request(b"POST", TICKETS_PATH.encode(), headers, body)
-        return await send_request(connection, data)
+        return await send_request(connection, data, budget)
     finally:
         connection.abort()
 
--- a/src/anvilhoist/site/replicas.py
+++ b/src/anvilhoist/site/replicas.py
@@ -18,7 +18,7 @@
 from ..platform import names
 from ..process import run_cli, wait_for_stop_signal
 from ..tasks import start_task
-from .endless import write_endless
+from .endless import ENDLESS_FAULTS, write_endless
 from .parts import make_digest, make_records
 
 # Requests waiting or running at a replica; it rejects further ones.
@@ -27,7 +27,7 @@
 LINGER_ZERO = struct.pack("ii", 1, 0)
 FAULTS = (
     "", "slow", "dark", "shed", "extra", "cut", "cut_head", "reset", "unframed",
-    "fail", "limit", "leaving", "quiet", "gone", "long", "endless",
+    "fail", "limit", "leaving", "quiet", "gone", "long", *ENDLESS_FAULTS,
 )  # fmt: skip
 LONG_ANSWER_BYTES = 3 << 20  # size of an answer's body under the fault "long"
 QUIET_S = 2  # for which a replica wants no requests, under the fault "quiet"
@@ -70,7 +70,7 @@
         - "limit": answers name `RATE_LIMIT_PER_S`; further requests are served too.
         - "gone": new connections are refused, also after another fault is set.
         - "long": answers have `LONG_ANSWER_BYTES`.
-        - "endless": the answer has a body without end.
+        - `ENDLESS_FAULTS`: the answer has a head, a body or other bytes without end.
     runs : list of dict
         Requests that began to run, with instance, service, attempt id, request line,
         body size in bytes, time left in ms as text (empty if not sent) and boot time.
@@ -192,8 +192,8 @@
         body = make_records(self.service, attempt)
         if self.fault == "long":
             body *= LONG_ANSWER_BYTES // len(body)
-        if self.fault == "endless":
-            return await write_endless(writer, attempt)
+        if self.fault in ENDLESS_FAULTS:
+            return await write_endless(writer, attempt, self.fault)
         fault_applies = self._random.random() < FAULT_PROBABILITY
         if self.fault == "fail" and fault_applies:
             return self._write_response(writer, attempt, 500, b"failed")
--- a/src/anvilhoist/site/soak.py
+++ b/src/anvilhoist/site/soak.py
@@ -24,6 +24,7 @@
 from .proxy import Proxy
 from .replicas import FAULTS
 from .site import DATA_CENTRES, NEXT_SHARDS, SHARDS, Site, Vm
+from .store import MODES
 
 DRAIN_CUTOFF_S = 3.0  # Time after a drain from which no request may reach the replica.
 RECOVERY_S = 3.0  # Time after the last fault until every request succeeds again.
@@ -33,7 +34,7 @@
 MEAN_FAULT_INTERVAL_S = 0.6
 RECOVERY_CHECK_S = 2.0  # Time at the end in which every request has to succeed.
 # Faults that are not drawn: callers would not know a long answer for right.
-UNDRAWN_FAULTS = ("", "gone", "long", "endless")
+UNDRAWN_FAULTS = ("", "gone", "long")
 
 
 @dataclass(slots=True)
@@ -199,7 +200,7 @@
                 self.site.signal_vm(vm, signal.SIGHUP)
 
     async def _inject_store_fault(self) -> None:
-        mode = self.rng.choice(("busy", "silent"))
+        mode = self.rng.choice([name for name in MODES if name != "serve"])
         duration_s = self.rng.uniform(0.5, 3.0)
         self._log_event(f"store in mode {mode} for {duration_s:.1f} s")
         self._extend_disturbance(duration_s + 1.0)
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -21,7 +21,8 @@
 
 PAGE_ITEMS = 50  # Most items on a page; the users' store sends pages this small.
 SILENT_MODE_HOLD_S = 30.0  # In mode "silent", the time before a call gets status 503.
-MODES = ("serve", "busy", "silent")
+MODES = ("serve", "busy", "silent", "flood")
+FLOOD_HEADERS = 200_000  # of an answer in mode "flood", several times what is read
 
 
 @dataclass(slots=True)
@@ -34,7 +35,8 @@
         Watches that start before this revision get status 410.
     mode : str
         One of `MODES`: "serve" answers calls, "busy" rejects them with status 503, and
-        "silent" does so after `SILENT_MODE_HOLD_S`.
+        "silent" does so after `SILENT_MODE_HOLD_S`, and
+        "flood" answers with a head that is too long for any reader.
     calls : int
         Calls of the tier so far.
     stale_snapshot : tuple or None
@@ -61,6 +63,8 @@
         if self.mode == "silent":
             await asyncio.sleep(SILENT_MODE_HOLD_S)
             return Response(503)
+        if self.mode == "flood":
+            return Response(200, [(b"a", b"")] * FLOOD_HEADERS)
         if path == names.RANGE_PATH:
             return self._range(parse_store_query(request))
         if path == names.WATCH_PATH:
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -24,6 +24,7 @@
     send_request,
     send_trailers,
 )
+from anvilhoist.site.endless import ENDLESS_FAULTS
 from anvilhoist.site.site import (
     BOOK_PREFIX,
     HOST_NAME,
@@ -35,6 +36,7 @@
 MEMORY_BOUND_BYTES = 300 << 20  # memory of the smallest VM
 DESCRIPTORS = 4100  # of the smallest VM
 ANSWER_TIMEOUT_S = 120.0  # patience for one ordinary request
+STORE_FLOOD_S = 5.0
 BODY_BYTES = 262_144  # `max-body-bytes` as callers know it
 # Nothing that the crowd sends is refused for its size or its time alone.
 WIDE_LIMITS = ConnectionLimits(
@@ -185,37 +187,74 @@
         run_crowd((send_chunks(3, block, API_PATH) for _ in range(1500)), site)
 
 
-class TestMemoryThatRequestsLeave:
-    """What a request held is given back when it ends, not by the cyclic collector."""
+def send_in_turn(site: Site, fault: str, count: int, **request) -> None:
+    """Let eight clients send ordinary requests one after the other, then check the VM.
 
-    def run(self, site: Site, fault: str, count: int, **request) -> None:
-        async def run() -> None:
-            numbers = iter(range(count))
+    All replicas are under `fault` until the check.
+    """
 
-            async def send_in_turn() -> None:
-                for _ in numbers:
-                    await send_ordinary_request(site, **request)
+    async def run() -> None:
+        numbers = iter(range(count))
 
-            try:
-                await site.start(work_s=0.0, slots=8)
-                await set_faults(site, fault)
-                await asyncio.gather(*(send_in_turn() for _ in range(8)))
-                await set_faults(site, "")
-                await check_vm(site)
-            finally:
-                await site.stop()
+        async def send() -> None:
+            for _ in numbers:
+                await send_ordinary_request(site, **request)
+
+        try:
+            await site.start(work_s=0.0, slots=8)
+            await set_faults(site, fault)
+            await asyncio.gather(*(send() for _ in range(8)))
+            await set_faults(site, "")
+            await check_vm(site)
+        finally:
+            await site.stop()
+
+    asyncio.run(run())
 
-        asyncio.run(run())
+
+class TestMemoryThatRequestsLeave:
+    """What a request held is given back when it ends, not by the cyclic collector."""
 
     def test_bookings_with_long_bodies(self):
         body = b"x" * BODY_BYTES
-        self.run(make_site(), "", 2000, method="POST", target=BOOK_PREFIX, body=body)
+        send_in_turn(
+            make_site(), "", 2000, method="POST", target=BOOK_PREFIX, body=body
+        )
 
     def test_answers_without_end(self):
-        self.run(make_site(), "endless", 200, target=READ_PREFIX)
+        send_in_turn(make_site(), "endless", 200, target=READ_PREFIX)
 
     def test_parts_without_end(self):
-        self.run(make_site(), "endless", 200, target=SEARCH_PREFIX)
+        send_in_turn(make_site(), "endless", 200, target=SEARCH_PREFIX)
 
     def test_long_answers(self):
-        self.run(make_site(), "long", 500, target=READ_PREFIX)
+        send_in_turn(make_site(), "long", 500, target=READ_PREFIX)
+
+
+@pytest.mark.parametrize("fault", ENDLESS_FAULTS)
+class TestAnswersWithoutEnd:
+    """Replicas send bytes without end, in a head or a body, or that are no HTTP."""
+
+    def test_to_requests(self, fault):
+        send_in_turn(make_site(), fault, 100, target=READ_PREFIX)
+
+    def test_to_queries(self, fault):
+        send_in_turn(make_site(), fault, 100, target=SEARCH_PREFIX)
+
+
+class TestStoreWithoutEnd:
+    """The store sends heads that no reader takes, for longer than a VM keeps trying."""
+
+    def test_the_vm_serves_what_it_knows(self):
+        site = make_site()
+
+        async def run() -> None:
+            try:
+                await site.start()
+                await site.send_store_command("mode", mode="flood")
+                await asyncio.sleep(STORE_FLOOD_S)
+                await check_vm(site)
+            finally:
+                await site.stop()
+
+        asyncio.run(run())
