Say in logs and status which code a VM runs, on which kind of machine

Cause of the doubt: the review's cases start the processes from target/deps, as the deploy file does. Neither the case nor review/build-2.sh builds it. After a checkout it holds the code of the build before.

Change: the `state` line and the status name a digest of the sources and the architecture; `anvilhoist status` prints both for each VM, `anvilhoist code FOLDER` prints the digest of a folder.

Measured: tests of the digest, the command and the status pass.

--- a/src/anvilhoist/front/report.py
+++ b/src/anvilhoist/front/report.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 import structlog
 
 from ..clock import read_boottime
+from ..code_digest import compute_code_digest
 from ..http.client_budget import ClientBudget
 from ..http.messages import Request, Response
 
@@ -40,6 +42,9 @@
         Number of replicas in each health class; classes without replicas are left out.
     peers : dict of str
         IP addresses, by name, of the other VMs heard within `RECENT_S`, lost or not.
+    code, machine : str
+        Digest of the sources that run, and the processor's architecture; empty for a VM
+        of a version that does not tell.
     """
 
     vm: str
@@ -51,6 +56,8 @@
     out: tuple[str, ...]
     beliefs: dict[str, int]
     peers: dict[str, str]
+    code: str = ""
+    machine: str = ""
 
 
 def register_gauges(front: Front) -> None:
@@ -117,6 +124,8 @@
         limited=len(front.replicas.list_limited()),
         callers=len(front.caller_server.connections),
         clients_held_bytes=front.client_budget.held_bytes,
+        code=status.code,
+        machine=status.machine,
     )
 
 
@@ -147,6 +156,8 @@
         out=tuple(sorted(view.data_centres_out)),
         beliefs=front.replicas.count_by_health(),
         peers={peer.vm: peer.host for peer in front.members.list_recent()},
+        code=compute_code_digest(),
+        machine=os.uname().machine,
     )
 
 
--- a/src/anvilhoist/oncall/command.py
+++ b/src/anvilhoist/oncall/command.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..code_digest import PACKAGE_FOLDER, compute_code_digest
 from ..errors import SettingsError
 from ..front.settings import read_front_settings
 from ..platform.documents import parse_configuration
@@ -62,6 +63,25 @@
     return run
 
 
+def code(folder: str = str(PACKAGE_FOLDER)):
+    """Print the digest of a package's sources, as the VMs name it in their logs.
+
+    Parameters
+    ----------
+    folder : str
+        Folder of the package, for example that of a checkout or of a build; by default,
+        the one that runs this command.
+    """
+
+    async def run() -> int:
+        if not Path(folder).is_dir():
+            raise SettingsError(folder, ("is no folder",))
+        print(compute_code_digest(Path(folder)))
+        return 0
+
+    return run
+
+
 def status(via: str):
     """List each VM's state, configuration, age of its view, and replica counts.
 
@@ -129,6 +149,7 @@
     commands = {
         "check": check,
         "check_settings": check_settings,
+        "code": code,
         "rounds": rounds,
         "status": status,
         "story": story,
--- a/src/anvilhoist/oncall/status.py
+++ b/src/anvilhoist/oncall/status.py
@@ -84,5 +84,6 @@
     return (
         f"{status.vm} ({status.data_centre}): {status.state}, "
         f"configuration {status.version}, confirmed {age} through {source}{outages}; "
-        f"replicas: {replicas or 'none'}; {len(status.peers)} peers"
+        f"replicas: {replicas or 'none'}; {len(status.peers)} peers; "
+        f"code {status.code or 'unknown'} on {status.machine or 'unknown'}"
     )
--- a/tests/test_oncall.py
+++ b/tests/test_oncall.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
+import asyncio
 import json
 
 import pytest
 
+from anvilhoist.code_digest import compute_code_digest
 from anvilhoist.errors import SettingsError, UsageError
 from anvilhoist.front.settings import read_front_settings
+from anvilhoist.oncall.command import code
 from anvilhoist.oncall.rounds import plot_rounds, read_rounds
 from anvilhoist.oncall.story import (
     collect_request_history,
@@ -13,6 +16,7 @@
     format_request_history,
     read_log_lines,
 )
+from anvilhoist.process import parse_command
 from anvilhoist.world.follow import MAX_PAUSE_S, choose_watch_pause
 
 LOG_LINES = [
@@ -150,6 +154,49 @@
             read_front_settings(None)
 
 
+class TestCodeDigest:
+    """The digest tells whether two folders hold the same code."""
+
+    @pytest.fixture
+    def folder(self, tmp_path):
+        (tmp_path / "a.py").write_text("one")
+        (tmp_path / "b.py").write_text("two")
+        return tmp_path
+
+    def digest(self, folder) -> str:
+        return compute_code_digest.__wrapped__(folder)
+
+    def test_copy_is_the_same(self, folder, tmp_path_factory):
+        copy = tmp_path_factory.mktemp("copy")
+        for path in folder.iterdir():
+            (copy / path.name).write_bytes(path.read_bytes())
+        (copy / "a.pyc").write_text("compiled")
+        assert self.digest(copy) == self.digest(folder)
+
+    @pytest.mark.parametrize(
+        "edit",
+        [
+            lambda folder: (folder / "a.py").write_text("other"),
+            lambda folder: (folder / "a.py").unlink(),
+            lambda folder: (folder / "a.py").rename(folder / "c.py"),
+            lambda folder: (folder / "c.py").write_text(""),
+        ],
+    )
+    def test_any_edit_is_seen(self, folder, edit):
+        before = self.digest(folder)
+        edit(folder)
+        assert self.digest(folder) != before
+
+    def test_command_prints_it(self, folder, capsys):
+        main = parse_command("anvilhoist", {"code": code}, ["code", str(folder)])
+        assert asyncio.run(main()) == 0
+        assert capsys.readouterr().out == f"{self.digest(folder)}\n"
+
+    def test_command_names_a_folder_that_is_missing(self, folder):
+        with pytest.raises(SettingsError, match="missing"):
+            asyncio.run(code(str(folder / "missing"))())
+
+
 class TestChooseWatchPause:
     def test_grows_with_the_fleet_up_to_a_bound(self):
         assert choose_watch_pause(1) < choose_watch_pause(4) < choose_watch_pause(33)
--- a/tests/test_searches.py
+++ b/tests/test_searches.py
@@ -16,6 +16,7 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from anvilhoist.code_digest import compute_code_digest
 from anvilhoist.errors import ERROR_RESPONSES, ErrorKind
 from anvilhoist.oncall.status import fetch_fleet_status, format_fleet_status
 from anvilhoist.site.site import DATA_CENTRES, SHARDS, Site
@@ -409,6 +410,7 @@
         assert fleet.read_errors == {}
         lines = format_fleet_status(fleet)
         assert len(lines) == len(runner.site.fleet)
+        assert all(f"code {compute_code_digest()}" in line for line in lines)
         assert all(
             f"configuration {runner.site.configuration_version}" in line
             for line in lines
