Give back what a shed account held in the round of shedding itself

A crowd at the JSON interface could cost more of its callers their connections than the limit asks for.

Cause: `ClientBudget._shed` relied on each holder to close its account when it is shed. Connections of the JSON interface are aborted, and close it a turn of the loop later, so the round went on as if nothing had been given back.

Change: the budget closes each account after calling its `shed`; the connections of the other interface need not. Besides: `RequestReader.head_bytes` is an attribute, no property around one.

--- a/src/anvilhoist/http/caller_connection.py
+++ b/src/anvilhoist/http/caller_connection.py
@@ -203,7 +203,6 @@
         self._reader.end()
         self._unparsed = b""
         self._requests_bytes = self._replies_bytes = 0
-        self._account.close()
 
     def enforce_timeouts(self, now: float, limits: ConnectionLimits) -> None:
         """Refuse a request that arrives too slowly; close an idle connection.
--- a/src/anvilhoist/http/client_budget.py
+++ b/src/anvilhoist/http/client_budget.py
@@ -175,6 +175,8 @@
                 if not is_over():
                     break
                 account.shed(reason)
+                # Its holder may end in a later turn of the loop only.
+                self.close_account(account)
                 count += 1
         finally:
             self._is_shedding = False
--- a/src/anvilhoist/http/request_reader.py
+++ b/src/anvilhoist/http/request_reader.py
@@ -36,6 +36,8 @@
         Whether nothing more is read.
     is_reading_head, is_reading_body : bool
         Which part of a request is being read, if any.
+    head_bytes : int
+        Bytes of the head that is being read or, later, its size.
     continue_due : bool
         Whether the request being read waits for `100 Continue`.
     """
@@ -64,11 +66,6 @@
         """Whether a request is being read."""
         return self.is_reading_head or self.is_reading_body
 
-    @property
-    def head_bytes(self) -> int:
-        """Bytes of the head that is being read or, later, its size."""
-        return self._head_bytes
-
     @property
     def body_bytes_due(self) -> int:
         """Bytes of a body of known length that are still to come; 0 if unknown."""
@@ -79,7 +76,7 @@
     @property
     def held_bytes(self) -> int:
         """Estimate of the memory of the request that is being read."""
-        headers_bytes = self._head_bytes + len(self._headers) * HEADER_BYTES
+        headers_bytes = self.head_bytes + len(self._headers) * HEADER_BYTES
         return REQUEST_BYTES + headers_bytes + self._body.size_bytes
 
     def feed(self, data: bytes) -> None:
@@ -87,7 +84,7 @@
         was_in_body, body_bytes = self.is_reading_body, self._body.size_bytes
         requests_read = self._requests_read
         if not was_in_body:
-            self._head_bytes += len(data)
+            self.head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -140,7 +137,7 @@
         self.is_reading_body = True
         # The bytes counted so far may include some of the body, so the size of the
         # head is computed from its parts.
-        self._head_bytes = len(self._url) + sum(
+        self.head_bytes = len(self._url) + sum(
             len(name) + len(value) + HEADER_FRAMING_BYTES
             for name, value in self._headers
         )
@@ -176,7 +173,7 @@
         self._on_request(request)
 
     def _check_head_size(self) -> None:
-        if self._head_bytes > self._read_limits().header_bytes:
+        if self.head_bytes > self._read_limits().header_bytes:
             self.refuse(431)
 
     def _check_body_size(self, size_bytes: int) -> None:
@@ -198,6 +195,6 @@
         self._body = Body()
         self.is_reading_body = False
         self.continue_due = False
-        self._head_bytes = 0
+        self.head_bytes = 0
         self._content_length = 0
         self._framing_bytes = 0
--- a/tests/test_client_budget.py
+++ b/tests/test_client_budget.py
@@ -85,6 +85,19 @@
         assert sum(holder.reason == "memory" for holder in holders) == 3
         assert budget.shed_count["memory"] == 3
 
+    def test_a_holder_that_ends_later_counts_no_more(self, budget, clock):
+        """A connection that is aborted closes its account in a later turn."""
+        accounts = [budget.open_account(lambda reason: None) for _ in range(10)]
+        for account in accounts:
+            account.hold(100)
+        clock.seconds = 1.0
+        Holder(budget).account.hold(150)
+        assert budget.shed_count["memory"] == 3
+        assert sum(account.held_bytes == 0 for account in accounts) == 3
+        for account in accounts:
+            account.close()
+        assert budget.held_bytes == 150
+
     def test_what_was_shed_counts_no_more(self, budget, clock):
         holder = Holder(budget)
         clock.seconds = 1.0
