Log what tells a wrong refusal from a right one, and the store's era

Callers got 404 for routes that had been added.

What was missing: which host and path found no route, at which revision the view was and for how long its version had been in force, and whether the store had come back from a copy. No decision reads any of it yet.

The stand-in of the store names its era, keeps a copy and comes back from it; a watch that waits meanwhile is answered 503, and one from a revision that it doesn't have 410. Draining replicas of the small site raise their sequence number, as replicas do.

--- a/src/anvilhoist/forward/refusal.py
+++ b/src/anvilhoist/forward/refusal.py
@@ -13,6 +13,7 @@
 from .result import Refusal
 
 MAX_RETRY_AFTER_S = 0.3  # by then the view or a replica may have changed
+MAX_LOGGED_TARGET = 200  # characters of a host and path in a log line
 MAX_RETRY_AFTER_SHARE = 0.3  # of the time left until the caller's deadline
 
 
@@ -39,6 +40,14 @@
     return max(0.0, min(MAX_RETRY_AFTER_S, MAX_RETRY_AFTER_SHARE * left_s))
 
 
+def _describe_target(call: Call) -> str:
+    return f"{call.host}{call.request.path}"[:MAX_LOGGED_TARGET]
+
+
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 2)
+
+
 def refuse(
     context: Context,
     call: Call,
@@ -82,8 +91,11 @@
         ran=ERROR_RESPONSES[kind].executed.value,
         found=found,
         limited=list(limited),
+        target=_describe_target(call) if route is None else None,
         version=view.configuration.version if view.configuration else None,
-        view_age_s=round(view.age_s, 2) if view.has_configuration else None,
+        in_force_s=_round(view.configuration_age_s),
+        revision=view.revision,
+        view_age_s=_round(view.age_s) if view.has_configuration else None,
         retry_after_s=retry_after_s,
         ms=round((now - call.request.arrived_at) * 1000, 1),
     )
--- a/src/anvilhoist/platform/names.py
+++ b/src/anvilhoist/platform/names.py
@@ -13,6 +13,7 @@
 RETRY_AFTER = b"retry-after"
 PART_DIGESTS = b"x-part-signatures"
 MISSING_PARTS = b"x-missing-parts"
+STORE_ERA = b"store-era"
 CONTENT_ENCODING = b"content-encoding"
 
 READINESS_PATH = "/anvilhoist/readiness"
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -13,7 +13,7 @@
 from ..errors import ErrorKind, Failure
 from ..http.connect import open_connection, send_request
 from ..http.exchange import ServerConnection
-from ..http.messages import encode_request
+from ..http.messages import Headers, encode_request, find_header
 from ..http.replies import Reply
 from ..world.model import Change, DataCentreChanged, Snapshot
 from ..world.source import ChangeBatch, HistoryGone
@@ -24,6 +24,8 @@
 READ_TIMEOUT_S = 1.5  # for one page; several hundred times its usual time
 WATCH_TIMEOUT_MARGIN_S = 0.8  # for a watch, beyond the wait that the store is allowed
 ALL_KEYS_PREFIX = ""
+MAX_ERA = 2**15 - 1
+MAX_ERA_DIGITS = 10
 # What reading an answer that is JSON but has another form may raise.
 MALFORMED_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
 
@@ -38,10 +40,17 @@
         IP address and port of the store.
     call_count : int
         Number of calls made.
+
+    Attributes
+    ----------
+    era : int
+        How often the store has come back from a copy, as it said last.
     """
 
     address: str
     call_count: int = 0
+    era: int = 0
+    _ignored_era: bytes = b""
     _connection: ServerConnection | None = None
 
     async def read_all(self) -> Snapshot | Failure:
@@ -156,6 +165,7 @@
         if isinstance(reply, Failure):
             self.close()
             return Failure(ErrorKind.STORE_UNREACHED, f"{path}: {reply.detail}")
+        self._note_era(reply.headers)
         if reply.status == 410:
             return Failure(ErrorKind.STORE_HISTORY_GONE, path)
         if reply.status != 200:
@@ -167,6 +177,26 @@
                 ErrorKind.STORE_UNREADABLE, f"{path}: not valid JSON: {error}"
             )
 
+    def _note_era(self, headers: Headers) -> None:
+        """Note the era that the store names; none or an odd one leaves it as it was."""
+        value = find_header(headers, names.STORE_ERA)
+        if value is None:
+            return
+        era = _parse_era(value)
+        if era is None:
+            self._log_ignored_era(value)
+        elif era != self.era:
+            structlog.get_logger().warning("store_era", era=era, before=self.era)
+            self.era = era
+
+    def _log_ignored_era(self, value: bytes) -> None:
+        if value == self._ignored_era:
+            return
+        self._ignored_era = value
+        structlog.get_logger().warning(
+            "store_era_ignored", era=value[:40].decode("latin-1"), kept=self.era
+        )
+
     async def _exchange(self, path: str, query: dict[str, str]) -> Reply | Failure:
         if self._connection is None or not self._connection.reusable:
             self.close()
@@ -177,6 +207,13 @@
         return await send_request(self._connection, data)
 
 
+def _parse_era(value: bytes) -> int | None:
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    era = int(value)
+    return era if era <= MAX_ERA else None
+
+
 def _find_last_key(items: list[Any]) -> str:
     keys = [item["key"] for item in items if _has_key(item)]
     if not keys:
--- a/src/anvilhoist/site/site.py
+++ b/src/anvilhoist/site/site.py
@@ -222,7 +222,8 @@
 
     async def drain(self, instance: str) -> None:
         """Publish a replica's entry as draining."""
-        entry = replace(self.entries[instance], draining=True)
+        known = self.entries[instance]
+        entry = replace(known, draining=True, sequence=known.sequence + 1)
         self.entries[instance] = entry
         await self.put_store_item(replica_key(instance), encode_replica(entry))
 
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -41,6 +41,10 @@
         Calls of the tier so far.
     stale_snapshot : tuple or None
         Items and revision for readers that allow stale answers; None for the newest.
+    era : int
+        Number of times that the store has come back from a copy.
+    copy : tuple
+        Items and revision that it would come back with.
     """
 
     items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
@@ -50,6 +54,10 @@
     mode: str = "serve"
     calls: int = 0
     stale_snapshot: tuple[dict[str, tuple[bytes, int]], int] | None = None
+    era: int = 0
+    copy: tuple[dict[str, tuple[bytes, int]], int] = field(
+        default_factory=lambda: ({}, 1)
+    )
     _revision_changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def handle(self, request: Request) -> Response:
@@ -58,6 +66,12 @@
         if path.startswith("/control/"):
             return self._run_command(path.removeprefix("/control/"), request)
         self.calls += 1
+        response = await self._answer_call(request)
+        response.headers.append((names.STORE_ERA, b"%d" % self.era))
+        return response
+
+    async def _answer_call(self, request: Request) -> Response:
+        path = request.path
         if self.mode == "busy":
             return Response(503)
         if self.mode == "silent":
@@ -82,6 +96,17 @@
         self._revision_changed.set()
         self._revision_changed = asyncio.Event()
 
+    def restore(self) -> None:
+        """Come back from the copy: what was written since is gone."""
+        items, self.revision = self.copy
+        self.items = dict(items)
+        self.history.clear()
+        self.compacted_revision = self.revision
+        self.stale_snapshot = None
+        self.era += 1
+        self._revision_changed.set()
+        self._revision_changed = asyncio.Event()
+
     def _run_command(self, command: str, request: Request) -> Response:
         query_string = request.target.decode().partition("?")[2]
         query = {key: values[0] for key, values in parse_qs(query_string).items()}
@@ -93,6 +118,10 @@
             self.mode = query["mode"]
         elif command == "lag":
             self.stale_snapshot = (dict(self.items), self.revision)
+        elif command == "copy":
+            self.copy = (dict(self.items), self.revision)
+        elif command == "restore":
+            self.restore()
         elif command == "compact":
             self.history.clear()
             self.compacted_revision = self.revision
@@ -114,15 +143,17 @@
 
     async def _watch(self, query: StoreQuery) -> Response:
         after = int(query.after)
-        if after < self.compacted_revision:
+        if after < self.compacted_revision or after > self.revision:
             return Response(410)
-        revision_changed = self._revision_changed
+        era, revision_changed = self.era, self._revision_changed
         if self.revision <= after:
             try:
                 async with asyncio.timeout(query.wait_s):
                     await revision_changed.wait()
             except TimeoutError:
                 return encode_events([], self.revision)
+        if self.era != era:
+            return Response(503)
         events = [
             item
             for item in self.history
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -78,12 +78,18 @@
     _missing: dict[str, _MissingEntry] = field(default_factory=dict)
     _listed_at: dict[str, float] = field(default_factory=dict)
     _grace_until: float = 0.0
+    _configured_at: float = 0.0
 
     @property
     def has_configuration(self) -> bool:
         """Whether a configuration is in force."""
         return self.configuration is not None
 
+    @property
+    def configuration_age_s(self) -> float | None:
+        """Time since the configuration came into force, in seconds, or None."""
+        return self.now() - self._configured_at if self.has_configuration else None
+
     @property
     def age_s(self) -> float:
         """Time since the view was known to match the store, in seconds.
@@ -250,6 +256,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self.configuration = configuration
+        self._configured_at = self.now()
         structlog.get_logger().info(
             "configuration_in_force",
             version=configuration.version,
--- a/tests/test_single.py
+++ b/tests/test_single.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
+import structlog
 
 from anvilhoist.errors import ERROR_RESPONSES, Executed
 from anvilhoist.forward.result import Refusal
+from anvilhoist.http.messages import Request
 from anvilhoist.http.replies import Reply
 from anvilhoist.world.model import Route
 from virtual_fleet import VirtualFleet
@@ -43,3 +47,19 @@
 
     def test_errors_of_idempotent_requests_are_forwarded(self, monkeypatch):
         assert self.request(monkeypatch, 503, repeatable=True).status == 503
+
+
+class TestRefusalWithoutRoute:
+    def test_log_line_tells_what_was_asked_and_of_which_state(self, monkeypatch):
+        async def main():
+            front = VirtualFleet(monkeypatch, 1).fronts["10.0.0.1"]
+            await asyncio.sleep(1.5)
+            headers = [(b"host", b"other.example:80"), (b"x-attempt-id", b"a1")]
+            return await front.forwarder.handle(Request(b"GET", b"/x/1?q=2", headers))
+
+        with structlog.testing.capture_logs() as lines:
+            assert run_in_virtual_time(main()).status == 404
+        line = next(line for line in lines if line["event"] == "refused")
+        assert line["target"] == "other.example/x/1"
+        assert line["revision"] == 1
+        assert 1.5 <= line["in_force_s"] < 2.0
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
+import structlog
 
 from anvilhoist.http.server import HttpServer
+from anvilhoist.platform import names
 from anvilhoist.platform.publish import (
     data_centre_out_key,
     encode_replica,
@@ -108,3 +110,32 @@
             assert not view.data_centres_out
 
         run_scenario(scenario)
+
+
+class TestEra:
+    def test_rise_is_logged_and_kept(self):
+        async def scenario(store, client):
+            await client.read_all()
+            store.restore()
+            with structlog.testing.capture_logs() as lines:
+                await client.read_all()
+            assert client.era == 1
+            assert {"event": "store_era", "era": 1, "before": 0} in [
+                {key: line.get(key) for key in ("event", "era", "before")}
+                for line in lines
+            ]
+
+        run_scenario(scenario)
+
+    @pytest.mark.parametrize(
+        "odd", [b"", b"x", b"-1", b"1.5", b"32768", b"9" * 5000, "\u00b2".encode()]
+    )
+    def test_odd_era_leaves_it_as_it_was(self, odd):
+        async def scenario(store, client):
+            store.era = 3
+            await client.read_all()
+            client._note_era([(names.STORE_ERA, odd)])
+            client._note_era([])
+            assert client.era == 3
+
+        run_scenario(scenario)
