Follow the store when it comes back from a copy

Callers got 404 for routes that had been added, requests were run by the service of an older configuration, and replicas that were leaving got requests, at all VMs and without end.

Cause: a view ordered all it read by the store's revision, which after a copy is given out again for other contents. Below the known revision each answer was taken for an old one; past it, a watch from the known revision went on over a hole, and the view called itself fresh. Class: a number of another party taken for one that only rises, and for the identity of what it numbers.

Change: a revision in this process is a pair of the era that the store names and its own revision, compared as one number. A watch answered in another era counts as history gone. Stale pages aren't read for 30 s after an era was named. Heartbeats, relays and full views between VMs name the era; a VM of the version before ignores it.

--- a/src/anvilhoist/forward/refusal.py
+++ b/src/anvilhoist/forward/refusal.py
@@ -7,6 +7,7 @@
 import structlog
 
 from ..errors import ERROR_RESPONSES, ErrorKind, Executed
+from ..world.era import format_revision
 from ..world.model import Route
 from .call import Call
 from .context import Context
@@ -94,7 +95,7 @@
         target=_describe_target(call) if route is None else None,
         version=view.configuration.version if view.configuration else None,
         in_force_s=_round(view.configuration_age_s),
-        revision=view.revision,
+        revision=format_revision(view.revision),
         view_age_s=_round(view.age_s) if view.has_configuration else None,
         retry_after_s=retry_after_s,
         ms=round((now - call.request.arrived_at) * 1000, 1),
--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -42,6 +42,7 @@
 from ..upstreams.budget import RetryBudget
 from ..upstreams.latency import RouteLatencies
 from ..upstreams.registry import ReplicaRegistry
+from ..world.era import get_era, get_store_revision
 from ..world.follow import StoreFollower
 from ..world.model import Service
 from ..world.view import View
@@ -294,11 +295,12 @@
             settings.data_centre,
             settings.region,
             self.state,
-            self.view.revision,
+            get_store_revision(self.view.revision),
             self.members.sample_liveness_ages(self.context.random),
             asks,
             collect_limit_reports(self.replicas, read_boottime(), self.context.random),
             collect_suspect_reports(self.context.suspects, read_boottime()),
+            get_era(self.view.revision),
         )
 
     def _apply_reports(self, heartbeat: Heartbeat) -> None:
--- a/src/anvilhoist/front/report.py
+++ b/src/anvilhoist/front/report.py
@@ -13,6 +13,7 @@
 from ..code_digest import compute_code_digest
 from ..http.client_budget import ClientBudget
 from ..http.messages import Request, Response
+from ..world.era import format_revision, get_era, get_store_revision
 
 if TYPE_CHECKING:
     from .process import Front
@@ -75,8 +76,10 @@
 
     metrics.register_gauge("view_age_s", read_view_age)
     metrics.register_gauge("configuration_version", read_configuration_version)
-    metrics.register_gauge("view_revision", lambda: float(view.revision))
-    metrics.register_gauge("store_era", lambda: float(front.store_client.era))
+    metrics.register_gauge(
+        "view_revision", lambda: float(get_store_revision(view.revision))
+    )
+    metrics.register_gauge("store_era", lambda: float(get_era(view.revision)))
     metrics.register_gauge("reads_store", lambda: float(front.peer_reader.reads_store))
     metrics.register_gauge("store_calls", lambda: float(front.store_client.call_count))
     metrics.register_gauge(
@@ -118,8 +121,7 @@
         state=status.state,
         version=status.version,
         view_age_s=status.view_age_s,
-        revision=front.view.revision,
-        store_era=front.store_client.era,
+        revision=format_revision(front.view.revision),
         replicas=len(front.replicas.by_instance),
         beliefs=status.beliefs,
         peers=len(front.members.list_alive_hosts()),
--- a/src/anvilhoist/peers/exchange.py
+++ b/src/anvilhoist/peers/exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, urlencode
 
 import structlog
 
@@ -13,6 +13,7 @@
 from ..http.exchange import ServerConnection
 from ..http.messages import Request, Response, encode_request
 from ..http.replies import Outcome
+from ..world.era import get_era, get_store_revision, join_revision
 from ..world.source import HistoryGone
 from ..world.view import View
 from .messages import ViewMessage, decode_view, encode_view, pack_change
@@ -52,7 +53,14 @@
         The VM answers at once if it has any; otherwise at its next sync, or after
         `wait_s` seconds. Return `HistoryGone` if it no longer keeps the changes.
         """
-        path = f"{CHANGES_PATH}?after={after}&wait_ms={int(wait_s * 1000)}"
+        query = urlencode(
+            {
+                "after": get_store_revision(after),
+                "era": get_era(after),
+                "wait_ms": int(wait_s * 1000),
+            }
+        )
+        path = f"{CHANGES_PATH}?{query}"
         return await self._request(path, wait_s + RESPONSE_TIMEOUT_S)
 
     def close(self) -> None:
@@ -101,7 +109,7 @@
     if request.path == VIEW_PATH:
         changes = view.take_snapshot().changes
     else:
-        found = _parse_changes_query(request)
+        found = _parse_changes_query(request, get_era(view.revision))
         if found is None:
             return Response(400)
         after, wait_s = found
@@ -110,20 +118,29 @@
         changes = view.change_log.list_since(after)
         if changes is None:
             return Response(410)
+    era = get_era(view.revision)
+    confirms = get_era(view.confirmed_revision) == era
     message = ViewMessage(
-        view.revision,
+        get_store_revision(view.revision),
         tuple(pack_change(change) for change in changes),
         view.age_s,
         view.grace_left_s,
-        view.confirmed_revision,
+        get_store_revision(view.confirmed_revision) if confirms else 0,
+        era,
     )
     return Response(200, [], encode_view(message))
 
 
-def _parse_changes_query(request: Request) -> tuple[int, float] | None:
+def _parse_changes_query(request: Request, era: int) -> tuple[int, float] | None:
+    """Return the revision and the longest wait in seconds, or None if malformed.
+
+    A VM that names no era is taken to be in this one.
+    """
     values = parse_qs(request.target.decode("latin-1").partition("?")[2])
     try:
-        return int(values["after"][0]), int(values["wait_ms"][0]) / 1000
+        era = int(values.get("era", [era])[0])
+        after = join_revision(era, int(values["after"][0]))
+        return after, int(values["wait_ms"][0]) / 1000
     except (KeyError, ValueError):
         structlog.get_logger().info(
             "peer_question_refused", target=request.target.decode("latin-1")[:80]
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -14,6 +14,7 @@
 from ..errors import ErrorKind, Failure
 from ..upstreams.suspects import MAX_KEY
 from ..validation import Address, Ipv4Text, NonNegative
+from ..world.era import MAX_ERA, MAX_STORE_REVISION, join_revision
 from ..world.model import (
     Change,
     Configuration,
@@ -30,6 +31,8 @@
 
 Ipv4Integer = Annotated[int, Meta(ge=0, lt=1 << 32)]
 AgeUnits = Annotated[int, Meta(ge=0, le=MAX_AGE_UNITS)]
+Era = Annotated[int, Meta(ge=0, le=MAX_ERA)]
+StoreRevision = Annotated[int, Meta(ge=0, le=MAX_STORE_REVISION)]
 
 
 class VmState(Enum):
@@ -101,7 +104,7 @@
     state : VmState
         State of the sender; callers are sent to it only while it is ready.
     revision : int
-        Store revision that the sender's view is at.
+        Store revision that the sender's view is at, within its era.
     heard : dict of int
         How long ago live VMs were heard, in units of `AGE_UNIT_S`, by IP address as
         an integer.
@@ -111,6 +114,8 @@
         Rate limits that replicas name; not all of them if there are many.
     suspects : tuple of SuspectReport
         Requests under which replicas ended lately; the newest if there are many.
+    era : int
+        Era of the store that the sender's view is at.
     """
 
     vm: str
@@ -122,11 +127,17 @@
     data_centre: str
     region: str
     state: VmState
-    revision: int
+    revision: StoreRevision
     heard: dict[Ipv4Integer, AgeUnits]
     asks: bool = False
     limits: tuple[LimitReport, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
+    era: Era = 0
+
+    @property
+    def view_revision(self) -> int:
+        """Revision of the sender's view, comparable across eras."""
+        return join_revision(self.era, self.revision)
 
 
 class ChangeMessage(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -159,7 +170,7 @@
     Attributes
     ----------
     revision : int
-        Store revision that the sender's view is at.
+        Store revision that the sender's view is at, within its era.
     changes : tuple of ChangeMessage
         Changes in the order in which they were made.
     age_s : float
@@ -168,15 +179,28 @@
         Remaining time for which the sender keeps replicas without an entry, in
         seconds.
     confirmed : int
-        Revision up to which the sender knows that removed entries did not lapse in an
-        outage.
+        Revision of that era up to which the sender knows that removed entries did not
+        lapse in an outage.
+    era : int
+        Era of the store that the sender's view is at.
     """
 
-    revision: int
+    revision: StoreRevision
     changes: tuple[ChangeMessage, ...]
     age_s: NonNegative
     doubt_s: NonNegative = 0.0
-    confirmed: Annotated[int, Meta(ge=0)] = 0
+    confirmed: StoreRevision = 0
+    era: Era = 0
+
+    @property
+    def view_revision(self) -> int:
+        """Revision of the sender's view, comparable across eras."""
+        return join_revision(self.era, self.revision)
+
+    @property
+    def confirmed_revision(self) -> int:
+        """Revision up to which removals are confirmed, comparable across eras."""
+        return join_revision(self.era, self.confirmed)
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
--- a/src/anvilhoist/peers/reading.py
+++ b/src/anvilhoist/peers/reading.py
@@ -90,11 +90,11 @@
         newer = [
             heartbeat
             for heartbeat in self.members.list_recent()
-            if heartbeat.host in alive and heartbeat.revision > revision
+            if heartbeat.host in alive and heartbeat.view_revision > revision
         ]
         if not newer:
             return None
-        peer = max(newer, key=lambda heartbeat: heartbeat.revision)
+        peer = max(newer, key=lambda heartbeat: heartbeat.view_revision)
         client = PeerClient(peer.peers_address)
         found = await client.read_all()
         client.close()
@@ -113,8 +113,8 @@
                 self.view.replace(_unpack_snapshot(found))
         elif isinstance(found, ViewMessage):
             self.view.extend_grace_period(found.doubt_s)
-            self.view.apply(found.revision, unpack_changes(found), found.age_s)
-            self.view.confirm_removals(found.confirmed)
+            self.view.apply(found.view_revision, unpack_changes(found), found.age_s)
+            self.view.confirm_removals(found.confirmed_revision)
         self._log_relay(relay, found)
         return isinstance(found, ViewMessage)
 
@@ -138,9 +138,9 @@
 
 def _unpack_snapshot(message: ViewMessage) -> Snapshot:
     return Snapshot(
-        message.revision,
+        message.view_revision,
         unpack_changes(message),
         message.age_s,
         message.doubt_s,
-        message.confirmed,
+        message.confirmed_revision,
     )
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -15,6 +16,7 @@
 from ..http.exchange import ServerConnection
 from ..http.messages import Headers, encode_request, find_header
 from ..http.replies import Reply
+from ..world.era import MAX_ERA, get_era, get_store_revision, join_revision
 from ..world.model import Change, DataCentreChanged, Snapshot
 from ..world.source import ChangeBatch, HistoryGone
 from . import names
@@ -24,12 +26,34 @@
 READ_TIMEOUT_S = 1.5  # for one page; several hundred times its usual time
 WATCH_TIMEOUT_MARGIN_S = 0.8  # for a watch, beyond the wait that the store is allowed
 ALL_KEYS_PREFIX = ""
-MAX_ERA = 2**15 - 1
 MAX_ERA_DIGITS = 10
+# Stale pages are no older; for so long after a copy they may be of the time before it.
+STALE_PAGES_S = 30.0
 # What reading an answer that is JSON but has another form may raise.
 MALFORMED_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
 
 
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """An answer of the store.
+
+    Attributes
+    ----------
+    document : dict
+        What it says.
+    era : int
+        How often the store had come back from a copy when it said so.
+    """
+
+    document: dict[str, Any]
+    era: int
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store, within its era."""
+        return join_revision(self.era, int(self.document["at"]))
+
+
 @dataclass(slots=True)
 class StoreClient:
     """The process's only client of the store; it makes one call at a time.
@@ -40,34 +64,44 @@
         IP address and port of the store.
     call_count : int
         Number of calls made.
-
-    Attributes
-    ----------
-    era : int
-        How often the store has come back from a copy, as it said last.
     """
 
     address: str
     call_count: int = 0
-    era: int = 0
+    _named_era: int | None = None
     _ignored_era: bytes = b""
+    _reads_current_until: float = -math.inf
     _connection: ServerConnection | None = None
 
+    @property
+    def era(self) -> int:
+        """How often the store has come back from a copy, as it said last."""
+        return self._named_era or 0
+
+    @property
+    def _may_read_stale(self) -> bool:
+        return asyncio.get_running_loop().time() >= self._reads_current_until
+
     async def read_all(self) -> Snapshot | Failure:
         """Read everything that is published.
 
         Stale pages are read first: they cost a tenth of a call and don't count towards
         the rate of calls. The changes since then make them current. If the store no
-        longer has those changes, current pages are read.
+        longer has those changes, current pages are read; so they are while stale ones
+        may be older than the copy from which the store came back.
 
         Returns
         -------
         Snapshot or Failure
             What is published as of one revision.
         """
+        if not self._may_read_stale:
+            return await self._read_pages(allow_stale=False)
         stale = await self._read_pages(allow_stale=True)
         if isinstance(stale, Failure):
             return stale
+        if not self._may_read_stale:
+            return await self._read_pages(allow_stale=False)
         newer = await self.watch(stale.revision, 0.0)
         match newer:
             case ChangeBatch(revision, changes):
@@ -95,7 +129,7 @@
         """
         query = {
             "path-prefix": ALL_KEYS_PREFIX,
-            "after": str(after),
+            "after": str(get_store_revision(after)),
             "wait-ms": str(int(wait_s * 1000)),
         }
         answer = await self._call(
@@ -105,8 +139,11 @@
             if answer.kind is ErrorKind.STORE_HISTORY_GONE:
                 return HistoryGone()
             return answer
+        if answer.era != get_era(after):
+            return HistoryGone()
         try:
-            return ChangeBatch(int(answer["at"]), _decode_events(answer["events"]))
+            events = answer.document["events"]
+            return ChangeBatch(answer.revision, _decode_events(events))
         except MALFORMED_ERRORS as error:
             return Failure(
                 ErrorKind.STORE_UNREADABLE, f"malformed answer to a watch: {error!r}"
@@ -128,10 +165,15 @@
             if isinstance(page, Failure):
                 return page
             try:
-                revisions.append(int(page["at"]))
-                items = page["items"]
+                revisions.append(page.revision)
+                items = page.document["items"]
                 changes += _decode_items(items)
-                if not page.get("has-more"):
+                if get_era(min(revisions)) != get_era(max(revisions)):
+                    return Failure(
+                        ErrorKind.STORE_UNREADABLE,
+                        "the store came back from a copy between two pages",
+                    )
+                if not page.document.get("has-more"):
                     return Snapshot(min(revisions), changes)
                 after = _find_last_key(items)
             except MALFORMED_ERRORS as error:
@@ -147,7 +189,7 @@
 
     async def _call(
         self, path: str, query: dict[str, str], timeout_s: float
-    ) -> dict[str, Any] | Failure:
+    ) -> _Answer | Failure:
         self.call_count += 1
         try:
             async with asyncio.timeout(timeout_s):
@@ -171,7 +213,7 @@
         if reply.status != 200:
             return Failure(ErrorKind.STORE_UNREACHED, f"{path}: status {reply.status}")
         try:
-            return json.loads(reply.body)
+            return _Answer(json.loads(reply.body), self.era)
         except (ValueError, RecursionError) as error:
             return Failure(
                 ErrorKind.STORE_UNREADABLE, f"{path}: not valid JSON: {error}"
@@ -185,9 +227,19 @@
         era = _parse_era(value)
         if era is None:
             self._log_ignored_era(value)
-        elif era != self.era:
-            structlog.get_logger().warning("store_era", era=era, before=self.era)
-            self.era = era
+        elif era != self._named_era:
+            self._begin_era(era)
+
+    def _begin_era(self, era: int) -> None:
+        before = self._named_era
+        self._named_era = era
+        if era > 0:
+            now = asyncio.get_running_loop().time()
+            self._reads_current_until = now + STALE_PAGES_S
+        if before is None:
+            return
+        event = "store_era" if era > before else "store_era_lower"
+        structlog.get_logger().warning(event, era=era, before=before)
 
     def _log_ignored_era(self, value: bytes) -> None:
         if value == self._ignored_era:
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -9,6 +9,7 @@
 import structlog
 
 from ..errors import Failure
+from .era import format_revision, get_era
 from .model import Snapshot
 from .source import ChangeSource, HistoryGone
 from .view import RETURN_GRACE_S, View
@@ -111,9 +112,12 @@
             case HistoryGone():
                 self._has_snapshot = False
                 structlog.get_logger().info(
-                    "store_history_gone", revision=self.view.revision
+                    "store_history_gone", revision=format_revision(self.view.revision)
                 )
             case Snapshot():
+                if get_era(found.revision) > get_era(self.view.revision):
+                    # Entries may be missing in a copy, even if no outage was seen.
+                    self._in_contact_since = self.now()
                 self.view.replace(found)
                 self._has_snapshot = True
             case _:
@@ -170,8 +174,8 @@
             return
         structlog.get_logger().info(
             "published_from_peer",
-            revision=found.revision,
-            known=self.view.revision,
+            revision=format_revision(found.revision),
+            known=format_revision(self.view.revision),
             view_age_s=round(found.age_s, 2),
         )
         self.view.replace(found)
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -204,3 +204,21 @@
     age_s: float = 0.0
     grace_left_s: float = 0.0
     confirmed_revision: int = 0
+
+    @property
+    def instances(self) -> set[str]:
+        """Ids of the replicas that have an entry."""
+        return {
+            change.entry.instance
+            for change in self.changes
+            if isinstance(change, ReplicaChanged)
+        }
+
+    @property
+    def data_centres_out(self) -> set[str]:
+        """Data centres that are out of service."""
+        return {
+            change.data_centre
+            for change in self.changes
+            if isinstance(change, DataCentreChanged) and change.out
+        }
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -10,6 +10,8 @@
 import structlog
 
 from .changes import ChangeLog
+from .doubts import CopyDoubts, MissingEntry
+from .era import format_revision, get_era
 from .model import (
     Change,
     Configuration,
@@ -28,22 +30,6 @@
 LATE_ENTRY_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class _MissingEntry:
-    """Entry that was removed while the removal is in doubt.
-
-    Attributes
-    ----------
-    revision : int
-        Revision at which the removal was read.
-    until : float
-        Time up to which the replica is kept in use, in seconds.
-    """
-
-    revision: int
-    until: float
-
-
 @dataclass(slots=True)
 class View:
     """Configuration in force, replicas in use, data centres out of service.
@@ -75,8 +61,9 @@
     synced_at: float | None = None
     confirmed_revision: int = 0
     change_log: ChangeLog = field(default_factory=ChangeLog)
-    _missing: dict[str, _MissingEntry] = field(default_factory=dict)
+    _missing: dict[str, MissingEntry] = field(default_factory=dict)
     _listed_at: dict[str, float] = field(default_factory=dict)
+    _copy_doubts: CopyDoubts = field(default_factory=CopyDoubts)
     _grace_until: float = 0.0
     _configured_at: float = 0.0
 
@@ -107,7 +94,8 @@
         """Apply changes in the order in which they were made.
 
         Changes up to a revision that the view has already reached are not applied:
-        they may come late, from another source. They still count as a sync.
+        they may come late, from another source. They still count as a sync, unless the
+        source has not followed the store since it came back from a copy.
 
         Parameters
         ----------
@@ -118,6 +106,8 @@
         age_s : float
             Time since the source's view was known to match the store, in seconds.
         """
+        if get_era(revision) < get_era(self.revision):
+            return
         if revision > self.revision:
             self._apply_all(revision, changes)
         self._record_sync(age_s)
@@ -137,24 +127,23 @@
         self.extend_grace_period(snapshot.grace_left_s)
         if snapshot.revision < self.revision:
             structlog.get_logger().info(
-                "published_is_old", revision=snapshot.revision, known=self.revision
+                "published_is_old",
+                revision=format_revision(snapshot.revision),
+                known=format_revision(self.revision),
             )
             return
-        present = {
-            change.entry.instance
-            for change in snapshot.changes
-            if isinstance(change, ReplicaChanged)
-        }
-        out = {
-            change.data_centre
-            for change in snapshot.changes
-            if isinstance(change, DataCentreChanged)
-        }
-        for instance in [name for name in self.entries if name not in present]:
+        known_era = get_era(self.revision)
+        is_copy = self.revision > 0 and get_era(snapshot.revision) > known_era
+        if is_copy:
+            self._begin_era(snapshot)
+        for instance in self.entries.keys() - snapshot.instances:
             self._handle_removal(instance, snapshot.revision)
-        for data_centre in self.data_centres_out - out:
-            self._set_data_centre_out(data_centre, False)
-        self._apply_all(snapshot.revision, snapshot.changes)
+        for data_centre in self.data_centres_out - snapshot.data_centres_out:
+            self._bring_back(data_centre, is_copy)
+        changes = self._copy_doubts.select_changes(
+            snapshot.changes, self.entries, self.now()
+        )
+        self._apply_all(snapshot.revision, changes)
         self._record_sync(snapshot.age_s)
         self.confirm_removals(snapshot.confirmed_revision)
         self.change_log.reset(snapshot.revision)
@@ -167,7 +156,7 @@
         """
         self.extend_grace_period(RETURN_GRACE_S)
         self._missing = {
-            instance: _MissingEntry(missing.revision, missing.until + outage_s)
+            instance: MissingEntry(missing.revision, missing.until + outage_s)
             for instance, missing in self._missing.items()
         }
         structlog.get_logger().info("entries_in_doubt", outage_s=round(outage_s, 2))
@@ -199,16 +188,29 @@
         for instance, missing in list(self._missing.items()):
             if missing.until <= now:
                 self._remove_replica(instance, "entry did not return in time")
+        for entry in self._copy_doubts.take_returned(now):
+            self._put_entry(entry)
+        for data_centre in self._copy_doubts.take_data_centres(now):
+            self._set_data_centre_out(data_centre, False)
+        self._copy_doubts.expire(now)
 
     def take_snapshot(self) -> Snapshot:
-        """Return what this view holds, without replicas whose entry is missing."""
+        """Return what this view holds, without what the store does not say.
+
+        Replicas whose entry is missing are left out, and so is what is kept although a
+        copy of the store says otherwise.
+        """
         changes: list[Change] = [
             ReplicaChanged(entry)
             for entry in self.entries.values()
             if entry.instance not in self._missing
         ]
+        doubts = self._copy_doubts
+        changes += [ReplicaChanged(dated.entry) for dated in doubts.returned.values()]
         changes += [
-            DataCentreChanged(name, True) for name in sorted(self.data_centres_out)
+            DataCentreChanged(name, True)
+            for name in sorted(self.data_centres_out)
+            if name not in doubts.data_centres
         ]
         if self.configuration is not None:
             changes.append(ConfigurationChanged(self.configuration))
@@ -216,6 +218,27 @@
             self.revision, changes, confirmed_revision=self.confirmed_revision
         )
 
+    def _begin_era(self, snapshot: Snapshot) -> None:
+        """Prepare for a copy of the store, in which the latest writes are missing."""
+        self.extend_grace_period(RETURN_GRACE_S)
+        self._copy_doubts.begin(self.now())
+        structlog.get_logger().warning(
+            "store_copy",
+            revision=format_revision(snapshot.revision),
+            known=format_revision(self.revision),
+            entries=len(self.entries),
+            items=len(snapshot.changes),
+            doubt_s=RETURN_GRACE_S,
+        )
+
+    def _bring_back(self, data_centre: str, is_copy: bool) -> None:
+        """Bring a data centre back that a snapshot lists in service, or wait for it."""
+        held_until = self._copy_doubts.data_centres
+        if is_copy:
+            held_until[data_centre] = self.now() + RETURN_GRACE_S
+        elif data_centre not in held_until:
+            self._set_data_centre_out(data_centre, False)
+
     def _apply_all(self, revision: int, changes: list[Change]) -> None:
         before = self.configuration
         for change in changes:
@@ -236,7 +259,7 @@
             structlog.get_logger().error(
                 "change_failed",
                 change=repr(change)[:200],
-                revision=revision,
+                revision=format_revision(revision),
                 trace=traceback.format_exc(),
             )
 
@@ -245,10 +268,13 @@
             case ConfigurationChanged(configuration):
                 self._set_configuration(configuration)
             case ReplicaChanged(entry):
+                self._copy_doubts.note_write(entry.instance)
                 self._put_entry(entry)
             case ReplicaRemoved(instance):
+                self._copy_doubts.note_write(instance)
                 self._handle_removal(instance, revision)
             case DataCentreChanged(data_centre, out):
+                self._copy_doubts.data_centres.pop(data_centre, None)
                 self._set_data_centre_out(data_centre, out)
 
     def _set_configuration(self, configuration: Configuration) -> None:
@@ -295,19 +321,21 @@
         if now >= self._grace_until:
             self._remove_replica(instance, "entry removed")
             return
-        self._missing[instance] = _MissingEntry(revision, self._grace_until)
+        self._missing[instance] = MissingEntry(revision, self._grace_until)
         structlog.get_logger().info(
             "replica_missing",
             replica=instance,
-            revision=revision,
+            revision=format_revision(revision),
             kept_s=round(self._grace_until - now, 2),
         )
 
     def _remove_replica(self, instance: str, why: str) -> None:
         self._missing.pop(instance, None)
         self._listed_at.pop(instance, None)
-        if self.entries.pop(instance, None) is None:
+        entry = self.entries.pop(instance, None)
+        if entry is None:
             return
+        self._copy_doubts.note_removal(entry, self.now())
         structlog.get_logger().info("replica_gone", replica=instance, why=why)
         self.on_replica_changed(instance, None)
 
