Let the soak take the store away and bring it back from a copy

Callers got 404 for added routes on real processes while every soak passed: the soak drew no copy of the store, and checked only that requests succeed at the end, which an old configuration lets them do.

No VM is restarted meanwhile, so that its check on replicas that have left stays strict. A new check at the end: every VM uses the newest configuration.

--- a/src/anvilhoist/site/soak.py
+++ b/src/anvilhoist/site/soak.py
@@ -18,6 +18,7 @@
 from ..peers.members import rank_hosts
 from ..peers.relays import RANKING_KEY, STORE_READERS
 from ..process import run_cli
+from .drill import LAPSED_S, find_old_configurations, restore_store
 from .invariants import TrafficCutoff, Violation, find_violations
 from .load import LoadGenerator, summarize_results
 from .proxy import MODES as PROXY_MODES
@@ -62,6 +63,7 @@
     _tasks: set[asyncio.Task] = field(default_factory=set)
     _reserved_vms: set[str] = field(default_factory=set)
     _proxies: list[Proxy] = field(default_factory=list)
+    _data_centres_out: set[str] = field(default_factory=set)
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
@@ -90,6 +92,7 @@
             failed = [
                 r for r in results if r.sent_at > recovered_at and r.status != 200
             ]
+            violations += await find_old_configurations(self.site)
             violations += [
                 Violation("recovered", f"{r.attempt} {r.path}: {r.status} {r.detail}")
                 for r in failed
@@ -109,7 +112,7 @@
             self._inject_replica_fault, self._inject_replica_fault,
             self._drain_replica, self._take_out_data_centre,
             self._publish_configuration, self._reshard,
-            self._inject_link_fault,
+            self._inject_link_fault, self._restore_store,
         ]  # fmt: skip
         end = read_boottime() + self.seconds
         while read_boottime() < end:
@@ -208,6 +211,22 @@
         await asyncio.sleep(duration_s)
         await self.site.send_store_command("mode", mode="serve")
 
+    async def _restore_store(self) -> None:
+        # A VM that starts meanwhile can't know which replicas the copy brings back.
+        if self._reserved_vms:
+            return
+        self._reserved_vms.update(vm.name for vm in self.site.fleet)
+        copy_age_s = self.rng.uniform(0.5, 4.0)
+        away_s = self.rng.uniform(0.5, 2.0)
+        self._log_event(
+            f"store away for {away_s:.1f} s, back from a copy {copy_age_s:.1f} s old"
+        )
+        await self.site.send_store_command("copy")
+        await asyncio.sleep(copy_age_s)
+        self._extend_disturbance(away_s + LAPSED_S)
+        await restore_store(self.site, away_s, self._data_centres_out)
+        self._reserved_vms.clear()
+
     async def _compact_store(self) -> None:
         self._log_event("history of the store dropped")
         await self.site.send_store_command("compact")
@@ -239,8 +258,10 @@
     async def _take_out_data_centre(self) -> None:
         data_centre = self.rng.choice(DATA_CENTRES)
         self._log_event(f"{data_centre} out of service")
+        self._data_centres_out.add(data_centre)
         await self.site.set_data_centre_out(data_centre, True)
         await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self._data_centres_out.discard(data_centre)
         await self.site.set_data_centre_out(data_centre, False)
 
     async def _publish_configuration(self) -> None:
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs
 
@@ -125,6 +126,8 @@
         elif command == "compact":
             self.history.clear()
             self.compacted_revision = self.revision
+        elif command == "keys":
+            return Response(200, [], json.dumps(list(self.items)).encode())
         elif command == "calls":
             return Response(200, [], str(self.calls).encode())
         else:
