Take no unnamed response for an answer where responses name their request

Cause: a response without an attempt id counted as the response to the request that was open on the connection. A late second answer with a wrong bit in the name of that header has none. Class: what is missing counts as agreement.

Change: a connection remembers that a response has named its request; from then on one that names none is discarded like one that names another. An id that stands twice with different values names another request.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -18,7 +18,7 @@
     classify_reply,
     encode_replica_request_head,
     is_leaving,
-    make_response_matcher,
+    make_origin_reader,
     parse_quiet_time,
     parse_rate_limit,
     parse_server_load,
@@ -167,7 +167,7 @@
             on_outcome(exchange, outcome, verdict)
 
         request = ServerRequest(
-            head, make_response_matcher(call), call.request.body, self.client_budget
+            head, make_origin_reader(call), call.request.body, self.client_budget
         )
         return replica.send(request, typical_s, new_connection, finish)
 
--- a/src/anvilhoist/http/connect.py
+++ b/src/anvilhoist/http/connect.py
@@ -8,7 +8,7 @@
 from .client_budget import ClientBudget
 from .exchange import ServerConnection
 from .messages import Headers
-from .replies import Outcome, ServerRequest
+from .replies import Outcome, ResponseOrigin, ServerRequest
 
 
 def _ignore_close(connection: ServerConnection) -> None:
@@ -73,9 +73,9 @@
         if not future.done():
             future.set_result(outcome)
 
-    connection.send(ServerRequest(data, _match_any, budget=budget), set_outcome)
+    connection.send(ServerRequest(data, _read_no_origin, budget=budget), set_outcome)
     return await future
 
 
-def _match_any(status: int, headers: Headers) -> bool:
-    return True
+def _read_no_origin(headers: Headers) -> ResponseOrigin:
+    return ResponseOrigin.UNNAMED
--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -19,7 +19,7 @@
     parse_keep_alive_timeout,
 )
 from .parse_queue import SLICE_BYTES, ParseQueue
-from .replies import Outcome, Reply, ResponseMatcher, ServerRequest
+from .replies import OriginReader, Outcome, Reply, ResponseOrigin, ServerRequest
 from .tcp_info import closed_gracefully
 
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long
@@ -39,7 +39,8 @@
 
     A complete response that belongs to another request is discarded. After that, or
     after other bytes that belong to no request, the connection is closed: at once
-    if no request is outstanding, otherwise after the outcome of that request.
+    if no request is outstanding, otherwise after the outcome of that request. Once a
+    response has named its request, one that names none belongs to no request.
 
     Received bytes are parsed in slices, in turn with those of other connections, as
     many short pieces take much processor time.
@@ -58,7 +59,8 @@
     def __init__(self, on_closed: Callable[[ServerConnection], None]):
         self._on_closed = on_closed
         self._on_outcome: Callable[[Outcome], None] | None = None
-        self._matches: ResponseMatcher | None = None
+        self._read_origin: OriginReader | None = None
+        self._responses_name_requests = False
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._budget: ClientBudget | None = None
@@ -101,7 +103,7 @@
         self, request: ServerRequest, on_outcome: Callable[[Outcome], None]
     ) -> None:
         """Send a request; `on_outcome` is called once, unless `abort` is before."""
-        self._matches = request.matches
+        self._read_origin = request.read_origin
         self._on_outcome = on_outcome
         self._is_head_request = request.head.startswith(b"HEAD ")
         self._budget = request.budget
@@ -266,7 +268,7 @@
             self._close_after("response body ends with the connection")
         if self._is_head_request:
             self._close_after("connection is not reused after a HEAD request")
-        if not self._matches(status, self._headers):
+        if not self._is_to_this_request():
             self._close_after("response to another request")
             return
         timeout_s = parse_keep_alive_timeout(self._headers)
@@ -276,6 +278,13 @@
             self._close_after("response came before the whole request was sent")
         self._outcome = Reply(status, self._headers, self._body.join())
 
+    def _is_to_this_request(self) -> bool:
+        origin = self._read_origin(self._headers)
+        if origin is ResponseOrigin.UNNAMED:
+            return not self._responses_name_requests
+        self._responses_name_requests = True
+        return origin is ResponseOrigin.THIS_REQUEST
+
     def _close_after(self, reason: str) -> None:
         """Close the connection after this exchange; the first reason is kept."""
         self._close_reason = self._close_reason or reason
@@ -318,7 +327,7 @@
         The parser refers to the connection: without this, only the cyclic garbage
         collector would free the body.
         """
-        self._on_outcome = self._matches = self._parser = self._budget = None
+        self._on_outcome = self._read_origin = self._parser = self._budget = None
         self._unparsed = b""
         if self._account is not None:
             self._account.close()
--- a/src/anvilhoist/http/replies.py
+++ b/src/anvilhoist/http/replies.py
@@ -4,12 +4,32 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from ..errors import ErrorKind, Failure
 from .client_budget import ClientBudget
 from .messages import Headers
 
-ResponseMatcher = Callable[[int, Headers], bool]
+
+class ResponseOrigin(Enum):
+    """Which request a response is to, by what it says itself.
+
+    Attributes
+    ----------
+    THIS_REQUEST
+        It names the outstanding request.
+    OTHER_REQUEST
+        It names another one.
+    UNNAMED
+        It names none.
+    """
+
+    THIS_REQUEST = "this request"
+    OTHER_REQUEST = "other request"
+    UNNAMED = "unnamed"
+
+
+OriginReader = Callable[[Headers], ResponseOrigin]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,14 +62,14 @@
     ----------
     head, body : bytes
         The request's bytes; the body may be part of the head. A long one is not copied.
-    matches : callable
-        Tells, from status and headers, whether a response is to this request.
+    read_origin : callable
+        Tells, from its headers, which request a response is to.
     budget : ClientBudget or None
         Counts what is received for the request; None if no client is the cause of it.
     """
 
     head: bytes
-    matches: ResponseMatcher
+    read_origin: OriginReader
     body: bytes = b""
     budget: ClientBudget | None = None
 
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -17,7 +17,7 @@
     find_header,
     strip_hop_by_hop_headers,
 )
-from ..http.replies import Reply, ResponseMatcher
+from ..http.replies import OriginReader, Reply, ResponseOrigin
 from . import names
 
 MS_PER_S = 1000.0
@@ -123,17 +123,18 @@
     )
 
 
-def make_response_matcher(call: Call) -> ResponseMatcher:
-    """Return a function that tells whether a response belongs to a call.
+def make_origin_reader(call: Call) -> OriginReader:
+    """Return a function that tells which attempt a response is to, by the id in it."""
 
-    A response that echoes another attempt id does not; one without an id does.
-    """
-
-    def matches(status: int, headers: Headers) -> bool:
-        echoed = find_header(headers, names.ATTEMPT_ID)
-        return echoed is None or echoed == call.attempt_id
+    def read_origin(headers: Headers) -> ResponseOrigin:
+        echoed = {value for name, value in headers if name == names.ATTEMPT_ID}
+        if not echoed:
+            return ResponseOrigin.UNNAMED
+        if echoed == {call.attempt_id}:
+            return ResponseOrigin.THIS_REQUEST
+        return ResponseOrigin.OTHER_REQUEST
 
-    return matches
+    return read_origin
 
 
 def classify_reply(reply: Reply, call: Call) -> Verdict:
--- a/tests/test_reply_turns.py
+++ b/tests/test_reply_turns.py
@@ -14,7 +14,7 @@
 from anvilhoist.http.exchange import ServerConnection
 from anvilhoist.http.parse_queue import SLICE_BYTES, TURN_BYTES
 from anvilhoist.http.replies import Outcome, Reply, ServerRequest
-from test_server_connection import ScriptedServer, make_response, matches
+from test_server_connection import ScriptedServer, make_response, read_origin
 
 REQUEST = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
 CONNECTIONS = 20  # one for each shard of a query
@@ -101,7 +101,7 @@
             self.reusable.append(connection.reusable)
 
         self.transports.append(FakeTransport(connection))
-        connection.send(ServerRequest(REQUEST, matches, budget=self.budget), note)
+        connection.send(ServerRequest(REQUEST, read_origin, budget=self.budget), note)
         self.connections.append(connection)
         return connection
 
@@ -297,7 +297,7 @@
             port = server.sockets[0].getsockname()[1]
             connection = await open_connection(f"127.0.0.1:{port}", TIMEOUT_S)
             future = asyncio.get_running_loop().create_future()
-            request = ServerRequest(REQUEST, matches, budget=make_budget())
+            request = ServerRequest(REQUEST, read_origin, budget=make_budget())
             connection.send(request, future.set_result)
             outcome = await asyncio.wait_for(future, TIMEOUT_S)
             server.close()
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -11,7 +11,7 @@
 from anvilhoist.http.connect import open_connection
 from anvilhoist.http.exchange import MAX_FRAMING_BYTES, MAX_RESPONSE_BODY_BYTES
 from anvilhoist.http.messages import find_header
-from anvilhoist.http.replies import Reply, ServerRequest
+from anvilhoist.http.replies import Reply, ResponseOrigin, ServerRequest
 from anvilhoist.http.tcp_info import closed_gracefully
 
 EXPECTED_ID = b"ours"
@@ -21,8 +21,13 @@
 SOCKET_BUFFER_BYTES = 8 << 20
 
 
-def matches(status: int, headers: list) -> bool:
-    return find_header(headers, b"id") in (None, EXPECTED_ID)
+def read_origin(headers: list) -> ResponseOrigin:
+    response_id = find_header(headers, b"id")
+    if response_id is None:
+        return ResponseOrigin.UNNAMED
+    if response_id == EXPECTED_ID:
+        return ResponseOrigin.THIS_REQUEST
+    return ResponseOrigin.OTHER_REQUEST
 
 
 def make_response(
@@ -70,7 +75,7 @@
     for _ in range(count):
         future = asyncio.get_running_loop().create_future()
         request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"
-        connection.send(ServerRequest(request, matches), future.set_result)
+        connection.send(ServerRequest(request, read_origin), future.set_result)
         outcomes.append(await asyncio.wait_for(future, TIMEOUT_S))
         await asyncio.sleep(0.02)
     reusable = connection.reusable
