Hand an answer to its caller whatever can be noted of it

Cause: the load became a number that no float holds, and the error in the callback dropped the answer. Class: an exception while something is noted of a replica keeps the outcome from its caller.

Change: a load has at most nine digits and no sign. Whatever else fails while a reply is noted is logged as `reply_not_noted`, and the outcome goes on.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -159,9 +160,7 @@
             if isinstance(outcome, Reply):
                 call.request.hold(len(outcome.body))
                 verdict = classify_reply(outcome, call)
-                self._record_reply(replica, exchange, outcome, verdict)
-                if verdict not in NOT_EXECUTED_VERDICTS:
-                    self._note_survival(call)
+                self._try_record_reply(replica, call, exchange, outcome, verdict)
             elif outcome.kind is ErrorKind.CONNECTION_LOST:
                 self._check_end(replica, call, exchange)
             on_outcome(exchange, outcome, verdict)
@@ -229,6 +228,27 @@
 
         replica.check_end(suspect)
 
+    def _try_record_reply(
+        self,
+        replica: Replica,
+        call: Call,
+        exchange: Exchange,
+        reply: Reply,
+        verdict: Verdict,
+    ) -> None:
+        """Note what a reply says, or log why it can't be; its caller must get it."""
+        try:
+            self._record_reply(replica, exchange, reply, verdict)
+            if verdict not in NOT_EXECUTED_VERDICTS:
+                self._note_survival(call)
+        except Exception:
+            structlog.get_logger().error(
+                "reply_not_noted",
+                replica=replica.entry.instance,
+                request=call.attempt_id_text,
+                trace=traceback.format_exc(),
+            )
+
     def _record_reply(
         self, replica: Replica, exchange: Exchange, reply: Reply, verdict: Verdict
     ) -> None:
--- a/src/anvilhoist/platform/edge.py
+++ b/src/anvilhoist/platform/edge.py
@@ -34,6 +34,8 @@
 _UNFORWARDED_REQUEST_HEADERS = frozenset(
     (names.DEADLINE_MS, names.TARGET_INSTANCE, b"content-length", b"expect")
 )
+# How many requests run and wait; no replica has room for a number of more digits.
+_LOAD = re.compile(rb" *([0-9]{1,9}) *, *([0-9]{1,9}) *(,.*)?")
 _DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?")
 _UNFORWARDED_RESPONSE_HEADERS = frozenset((b"content-length",))
 
@@ -162,14 +164,8 @@
 
 def parse_server_load(headers: Headers) -> int | None:
     """Return how many requests run or wait at a replica; None if it does not tell."""
-    value = find_header(headers, names.SERVER_LOAD)
-    if value is None:
-        return None
-    counts = value.split(b",")
-    try:
-        return int(counts[0]) + int(counts[1])
-    except (ValueError, IndexError):
-        return None
+    counts = _LOAD.fullmatch(find_header(headers, names.SERVER_LOAD) or b"")
+    return int(counts[1]) + int(counts[2]) if counts else None
 
 
 def parse_rate_limit(headers: Headers) -> float | None:
