Leave an era that the store named wrongly

One answer with a wrong, higher era would have kept a VM, and those that read through it, from the store for good, as all that follows is of a lower era.

Cause: the order by era has no way back. Class: a number of another party taken for one that only rises.

Change: after three full reads in a row in a lower era the view goes on from what the store says, as from a copy: entries in doubt are kept, no older configuration is used, confirmed removals begin anew.

--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -31,6 +31,8 @@
 # Entries may also have lapsed unnoticed if no watch came to its end for longer than
 # this, as after a pause of the process.
 MAX_UNNOTICED_GAP_S = WATCH_WAIT_S + MAX_PAUSE_S + 2 * MIN_OUTAGE_S
+# Full reads in a row after which the store is right about an era below the view's.
+LOWER_ERA_READS = 3
 PEER_FALLBACK_AFTER_S = 1.0  # time without the store after which a peer is asked
 # Age at which a view read through others is too old, and this VM asks the store itself.
 MAX_RELAYED_AGE_S = 2.8
@@ -83,6 +85,7 @@
     _started_at: float = 0.0
     _in_contact_since: float | None = None
     _has_snapshot: bool = False
+    _lower_era_reads: int = 0
 
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
@@ -115,17 +118,23 @@
                     "store_history_gone", revision=format_revision(self.view.revision)
                 )
             case Snapshot():
-                if get_era(found.revision) > get_era(self.view.revision):
-                    # Entries may be missing in a copy, even if no outage was seen.
-                    self._in_contact_since = self.now()
-                self.view.replace(found)
-                self._has_snapshot = True
+                self._replace_view(found)
             case _:
                 self.view.apply(found.revision, found.changes)
         if self._has_long_contact():
             self.view.confirm_removals(self.view.revision)
         return True
 
+    def _replace_view(self, snapshot: Snapshot) -> None:
+        era, known_era = get_era(snapshot.revision), get_era(self.view.revision)
+        self._lower_era_reads = self._lower_era_reads + 1 if era < known_era else 0
+        leaves_era = self._lower_era_reads >= LOWER_ERA_READS
+        if era > known_era or leaves_era:
+            # Entries may be missing in a copy, even if no outage was seen.
+            self._in_contact_since = self.now()
+        self.view.replace(snapshot, leaves_era)
+        self._has_snapshot = True
+
     def _record_failure(self, failure: Failure) -> None:
         if not self.store_lost:
             structlog.get_logger().warning(
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -113,7 +113,7 @@
         self._record_sync(age_s)
         self.change_log.add(revision, changes)
 
-    def replace(self, snapshot: Snapshot) -> None:
+    def replace(self, snapshot: Snapshot, leaves_era: bool = False) -> None:
         """Apply a snapshot, and remove replicas that are not in it.
 
         Data centres that it does not list as out of service are brought back. A
@@ -123,17 +123,19 @@
         ----------
         snapshot : Snapshot
             Everything that is published.
+        leaves_era : bool
+            Whether the view's own era was wrong, so that a lower one counts.
         """
         self.extend_grace_period(snapshot.grace_left_s)
-        if snapshot.revision < self.revision:
+        if snapshot.revision < self.revision and not leaves_era:
             structlog.get_logger().info(
                 "published_is_old",
                 revision=format_revision(snapshot.revision),
                 known=format_revision(self.revision),
             )
             return
-        known_era = get_era(self.revision)
-        is_copy = self.revision > 0 and get_era(snapshot.revision) > known_era
+        is_other_era = get_era(snapshot.revision) != get_era(self.revision)
+        is_copy = self.revision > 0 and is_other_era
         if is_copy:
             self._begin_era(snapshot)
         for instance in self.entries.keys() - snapshot.instances:
@@ -222,6 +224,7 @@
         """Prepare for a copy of the store, in which the latest writes are missing."""
         self.extend_grace_period(RETURN_GRACE_S)
         self._copy_doubts.begin(self.now())
+        self.confirmed_revision = 0
         structlog.get_logger().warning(
             "store_copy",
             revision=format_revision(snapshot.revision),
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -23,7 +23,7 @@
     get_store_revision,
     join_revision,
 )
-from anvilhoist.world.follow import StoreFollower
+from anvilhoist.world.follow import LOWER_ERA_READS, StoreFollower
 from anvilhoist.world.model import (
     Configuration,
     ConfigurationChanged,
@@ -345,6 +345,31 @@
         view.drop_missing(clock())
         assert not view.entries
 
+    def test_an_era_that_was_named_wrongly_is_left(self, view, clock):
+        """One wrong answer must not keep a VM from the store for good."""
+        wrong = make_full_copy()
+        wrong.revision = join_revision(MAX_ERA, 20)
+        view.replace(wrong)
+        right = Snapshot(60, [*make_full_copy().changes, make_configuration(8)])
+
+        class Source:
+            async def read_all(self):
+                return right
+
+            async def watch(self, after, wait_s):
+                return HistoryGone()
+
+        async def run():
+            follower = StoreFollower(view, Source(), None, clock)
+            for _ in range(2 * LOWER_ERA_READS):
+                clock.seconds += 0.3
+                await follower._sync(0.0)
+
+        asyncio.run(run())
+        assert view.revision == 60
+        assert view.configuration.version == 8
+        assert set(view.entries) == {"i-1", "i-2", "i-3"}
+
 
 class TestRelay:
     """A VM that reads through another one, in the same era or not."""
