Settle what a copy of the store leaves in doubt, whoever read it and how often

- an entry that a copy brought back and a second full read lacks was used after 5 s, without end;
- a removal that two copies in a row undo was forgotten with the first;
- an entry missing before a second copy kept its old grace;
- "no removal confirmed" of a peer in the new era confirmed all of the old one;
- a view moved by a relay during an own watch confirmed removals at once;
- ready beside a known drain with the same sequence number brought the replica back;
- an earlier start in a copy was skipped for good;
- a stale order for one data centre took it out beside the newer one for another;
- a VM without contact settled doubts blindly, and forgot removals after 60 s.

Class: what was learned at one full read was taken for settled at the next. Now each full read in the 5 s says anew what is in doubt, in one place (`CopyDoubts`), and the grace and the contact follow the era of the view, from whomever it came. After a gone history the full read follows at once.

The same class elsewhere: a VM that restarted with its clock set back wasn't heard as long as others said that it lived (`Members`): silence is now that of the VM itself.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup run test experiment soak fuzz regression clean
+.PHONY: setup run test experiment drill soak fuzz regression clean
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,9 @@
 experiment: setup
 	$(BIN)/python -m anvilhoist.site.experiment
 
+drill: setup
+	$(BIN)/python -m anvilhoist.site.drill --vms $(or $(VMS),4,33)
+
 soak: setup
 	$(BIN)/python -m anvilhoist.site.soak --seed $(or $(SEED),1) --count $(or $(COUNT),50)
 
--- a/src/anvilhoist/peers/members.py
+++ b/src/anvilhoist/peers/members.py
@@ -39,12 +39,15 @@
     heard_at : float
         Time at which it was last known to be alive, from its own heartbeats or from
         those of others, in seconds.
+    heartbeat_at : float
+        Time at which the newest heartbeat of its own arrived, in seconds.
     lost : bool
         Whether `expire_silent` has marked it as lost, and logged that.
     """
 
     heartbeat: Heartbeat
     heard_at: float
+    heartbeat_at: float
     lost: bool = False
 
 
@@ -105,7 +108,7 @@
                 state=heartbeat.state.value,
                 silent_s=round(now - known.heard_at, 2) if known else None,
             )
-        self._members[heartbeat.host] = Member(heartbeat, now)
+        self._members[heartbeat.host] = Member(heartbeat, now, now)
         self._unconfirmed_until.pop(heartbeat.host, None)
         self._record_gossiped_ages(heartbeat.heard, now)
         self._peak_fleet_size = max(self._peak_fleet_size, len(self.list_possible()))
@@ -255,5 +258,5 @@
     if found.incarnation == last.incarnation:
         return found.beat > last.beat
     # Incarnations come from a wall clock, which may have jumped between two starts.
-    silent = now - known.heard_at > MAX_DATAGRAM_DELAY_S
+    silent = now - known.heartbeat_at > MAX_DATAGRAM_DELAY_S
     return found.incarnation > last.incarnation or silent
--- a/src/anvilhoist/peers/messages.py
+++ b/src/anvilhoist/peers/messages.py
@@ -199,8 +199,8 @@
 
     @property
     def confirmed_revision(self) -> int:
-        """Revision up to which removals are confirmed, comparable across eras."""
-        return join_revision(self.era, self.confirmed)
+        """Revision up to which removals are confirmed, or 0; comparable across eras."""
+        return join_revision(self.era, self.confirmed) if self.confirmed else 0
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
--- a/src/anvilhoist/site/site.py
+++ b/src/anvilhoist/site/site.py
@@ -222,8 +222,7 @@
 
     async def drain(self, instance: str) -> None:
         """Publish a replica's entry as draining."""
-        known = self.entries[instance]
-        entry = replace(known, draining=True, sequence=known.sequence + 1)
+        entry = replace(self.entries[instance], draining=True)
         self.entries[instance] = entry
         await self.put_store_item(replica_key(instance), encode_replica(entry))
 
--- a/src/anvilhoist/site/soak.py
+++ b/src/anvilhoist/site/soak.py
@@ -18,7 +18,7 @@
 from ..peers.members import rank_hosts
 from ..peers.relays import RANKING_KEY, STORE_READERS
 from ..process import run_cli
-from .drill import LAPSED_S, find_old_configurations, restore_store
+from .drill import LAPSED_S, bring_back, find_old_configurations, lose_changes
 from .invariants import TrafficCutoff, Violation, find_violations
 from .load import LoadGenerator, summarize_results
 from .proxy import MODES as PROXY_MODES
@@ -224,7 +224,8 @@
         await self.site.send_store_command("copy")
         await asyncio.sleep(copy_age_s)
         self._extend_disturbance(away_s + LAPSED_S)
-        await restore_store(self.site, away_s, self._data_centres_out)
+        await lose_changes(self.site, away_s, self._data_centres_out)
+        await bring_back(self.site)
         self._reserved_vms.clear()
 
     async def _compact_store(self) -> None:
--- a/src/anvilhoist/world/doubts.py
+++ b/src/anvilhoist/world/doubts.py
@@ -5,14 +5,22 @@
 import math
 from dataclasses import dataclass, field
 
-from .model import Change, ReplicaChanged, ReplicaEntry
-
-# A copy is some seconds old; it brings back no entry that was removed earlier.
-REMOVED_KEPT_S = 60.0
-MAX_REMOVED = 2000
+from .model import (
+    Change,
+    DataCentreChanged,
+    ReplicaChanged,
+    ReplicaEntry,
+    Snapshot,
+)
+
+# Entries of live replicas are written again within this time after the store's return.
+RETURN_GRACE_S = 2.3
 # By then each replica has written its entry again, or it has lapsed after three of its
 # heartbeats.
 COPY_DOUBT_S = 5.0
+# A copy is some seconds old; it brings back no entry that was removed earlier.
+REMOVED_KEPT_S = 60.0
+MAX_REMOVED = 2000
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,103 +40,140 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _DatedEntry:
-    """An entry and a time, in seconds."""
-
+class _Removed:
     entry: ReplicaEntry
     at: float
 
 
 @dataclass(slots=True)
 class CopyDoubts:
-    """Entries and data centres for which a copy of the store may be out of date.
+    """What a copy of the store says that may be out of date, until it is settled.
 
-    Attributes
-    ----------
-    returned : dict of _DatedEntry
-        Entries that a copy brought back, by instance, and when they count.
-    until : float
-        Time up to which what is read in full may still be what the copy held.
-    data_centres : dict of float
-        Data centres that a copy lists in service, and until when they stay out of it.
+    It is settled by whoever writes it again, or removes it, or by time.
     """
 
-    returned: dict[str, _DatedEntry] = field(default_factory=dict)
-    data_centres: dict[str, float] = field(default_factory=dict)
-    until: float = -math.inf
-    _removed: dict[str, _DatedEntry] = field(default_factory=dict)
+    _until: float = -math.inf
+    _out_until: float = -math.inf
+    _entries: dict[str, ReplicaEntry] = field(default_factory=dict)
+    _data_centres: dict[str, bool] = field(default_factory=dict)
+    _removed: dict[str, _Removed] = field(default_factory=dict)
 
     def begin(self, now: float) -> None:
         """Note that the store has come back from a copy."""
-        self.until = now + COPY_DOUBT_S
+        self._until = now + COPY_DOUBT_S
+        self._out_until = now + RETURN_GRACE_S
 
     def note_removal(self, entry: ReplicaEntry, now: float) -> None:
-        """Note that an entry was removed, other than by a copy that lacks it."""
+        """Note that a replica is used no longer."""
         self._removed.pop(entry.instance, None)
-        self._removed[entry.instance] = _DatedEntry(entry, now)
+        self._removed[entry.instance] = _Removed(entry, now)
         while len(self._removed) > MAX_REMOVED:
             del self._removed[next(iter(self._removed))]
 
-    def note_write(self, instance: str) -> None:
-        """Note that an entry was written or removed: the store is right about it."""
-        self._removed.pop(instance, None)
-        self.returned.pop(instance, None)
+    def settle_entry(self, instance: str) -> None:
+        """Note that the store is right about an entry, or that it has none."""
+        self._entries.pop(instance, None)
+
+    def settle_data_centre(self, data_centre: str) -> None:
+        """Note that the store is right about a data centre."""
+        self._data_centres.pop(data_centre, None)
 
     def select_changes(
-        self, changes: list[Change], known: dict[str, ReplicaEntry], now: float
+        self,
+        snapshot: Snapshot,
+        known: dict[str, ReplicaEntry],
+        known_out: set[str],
+        now: float,
     ) -> list[Change]:
-        """Return the changes of a snapshot that count now.
+        """Return the changes that a snapshot brings now; the others are kept in doubt.
 
         Parameters
         ----------
-        changes : list
-            One change for each item of the snapshot.
+        snapshot : Snapshot
+            What the store says.
         known : dict of ReplicaEntry
             Entries in use, by instance.
+        known_out : set of str
+            Data centres that are out of service.
         now : float
             Current time, in seconds.
         """
-        if now >= self.until:
+        self._entries.clear()
+        self._data_centres.clear()
+        returned = known_out - snapshot.data_centres_out
+        changes = snapshot.changes + [
+            DataCentreChanged(name, False) for name in sorted(returned)
+        ]
+        if now >= self._until:
             return changes
-        selected: list[Change] = []
-        for change in changes:
-            if isinstance(change, ReplicaChanged):
-                entry = change.entry
-                removed = self._removed.get(entry.instance)
-                if is_older(entry, known.get(entry.instance)):
-                    continue
-                if removed is not None and not is_older(removed.entry, entry):
-                    self.returned[entry.instance] = _DatedEntry(entry, self.until)
-                    continue
-            selected.append(change)
-        return selected
-
-    def take_returned(self, now: float) -> list[ReplicaEntry]:
-        """Return the entries that a copy brought back and that nobody removed since."""
-        due = [dated.entry for dated in self.returned.values() if dated.at <= now]
-        for entry in due:
-            del self.returned[entry.instance]
-        return due
-
-    def take_data_centres(self, now: float) -> list[str]:
-        """Return the data centres that nobody took out of service again in time."""
-        due = [name for name, until in self.data_centres.items() if until <= now]
-        for name in due:
-            del self.data_centres[name]
-        return due
+        return [
+            change for change in changes if not self._keep(change, known, known_out)
+        ]
+
+    def take_settled(self, now: float) -> list[Change]:
+        """Return the changes that nobody has corrected in time."""
+        changes: list[Change] = []
+        for data_centre, out in list(self._data_centres.items()):
+            if now >= (self._out_until if out else self._until):
+                del self._data_centres[data_centre]
+                changes.append(DataCentreChanged(data_centre, out))
+        if now >= self._until:
+            changes += [ReplicaChanged(entry) for entry in self._entries.values()]
+            self._entries.clear()
+        return changes
+
+    def restore_said(self, entries: list[ReplicaEntry], out: set[str]) -> list[Change]:
+        """Return what the store says, with what is in doubt.
+
+        Parameters
+        ----------
+        entries : list of ReplicaEntry
+            Entries in use.
+        out : set of str
+            Data centres that are out of service.
+        """
+        instances = {entry.instance for entry in entries}
+        said = [e for e in self._entries.values() if e.instance not in instances]
+        said_out = {name for name, is_out in self._data_centres.items() if is_out}
+        said_in = self._data_centres.keys() - said_out
+        changes: list[Change] = [ReplicaChanged(entry) for entry in entries + said]
+        changes += [
+            DataCentreChanged(name, True) for name in sorted((out | said_out) - said_in)
+        ]
+        return changes
 
     def expire(self, now: float) -> None:
         """Forget entries that were removed too long ago for any copy."""
-        for instance, dated in list(self._removed.items()):
-            if now - dated.at < REMOVED_KEPT_S:
+        for instance, removed in list(self._removed.items()):
+            if now - removed.at < REMOVED_KEPT_S:
                 return
             del self._removed[instance]
 
-
-def is_older(entry: ReplicaEntry, other: ReplicaEntry | None) -> bool:
-    """Return whether an entry was surely written before another one of its instance."""
-    if other is None:
-        return False
+    def _keep(
+        self, change: Change, known: dict[str, ReplicaEntry], known_out: set[str]
+    ) -> bool:
+        """Keep a change in doubt, if it may be; return whether it is."""
+        match change:
+            case ReplicaChanged(entry) if self._is_doubtful(entry, known):
+                self._entries[entry.instance] = entry
+            case DataCentreChanged(name, out) if out != (name in known_out):
+                self._data_centres[name] = out
+            case _:
+                return False
+        return True
+
+    def _is_doubtful(self, entry: ReplicaEntry, known: dict[str, ReplicaEntry]) -> bool:
+        current = known.get(entry.instance)
+        if current is not None:
+            return is_older(entry, current)
+        removed = self._removed.get(entry.instance)
+        return removed is not None and entry.born_ms <= removed.entry.born_ms
+
+
+def is_older(entry: ReplicaEntry, other: ReplicaEntry) -> bool:
+    """Return whether an entry was written before another one of its instance."""
     if entry.born_ms != other.born_ms:
         return entry.born_ms < other.born_ms
-    return entry.sequence < other.sequence
+    if entry.sequence != other.sequence:
+        return entry.sequence < other.sequence
+    return other.draining and not entry.draining
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -86,6 +86,7 @@
     _in_contact_since: float | None = None
     _has_snapshot: bool = False
     _lower_era_reads: int = 0
+    _era: int = 0
 
     async def run(self) -> None:
         """Follow the store until the task is cancelled."""
@@ -95,7 +96,8 @@
             if reads_through_peers and self.view.age_s < MAX_RELAYED_AGE_S:
                 await asyncio.sleep(AGE_CHECK_INTERVAL_S)
             elif await self._sync(0.0 if reads_through_peers else WATCH_WAIT_S):
-                await asyncio.sleep(choose_watch_pause(self.count_readers()))
+                if self._has_snapshot:
+                    await asyncio.sleep(choose_watch_pause(self.count_readers()))
             else:
                 await self._sync_from_peer()
                 await asyncio.sleep(
@@ -121,6 +123,7 @@
                 self._replace_view(found)
             case _:
                 self.view.apply(found.revision, found.changes)
+        self._note_era()
         if self._has_long_contact():
             self.view.confirm_removals(self.view.revision)
         return True
@@ -129,9 +132,6 @@
         era, known_era = get_era(snapshot.revision), get_era(self.view.revision)
         self._lower_era_reads = self._lower_era_reads + 1 if era < known_era else 0
         leaves_era = self._lower_era_reads >= LOWER_ERA_READS
-        if era > known_era or leaves_era:
-            # Entries may be missing in a copy, even if no outage was seen.
-            self._in_contact_since = self.now()
         self.view.replace(snapshot, leaves_era)
         self._has_snapshot = True
 
@@ -157,6 +157,14 @@
         if outage_s > MIN_OUTAGE_S:
             self.view.start_grace_period(outage_s)
 
+    def _note_era(self) -> None:
+        # Entries may be missing in a copy, even if no outage was seen, and if the view
+        # has it from another VM.
+        era = get_era(self.view.revision)
+        if era != self._era:
+            self._era = era
+            self._in_contact_since = self.now()
+
     def _has_long_contact(self) -> bool:
         """Return whether entries that lapsed in an outage have had time to return.
 
--- a/src/anvilhoist/world/view.py
+++ b/src/anvilhoist/world/view.py
@@ -10,7 +10,7 @@
 import structlog
 
 from .changes import ChangeLog
-from .doubts import CopyDoubts, MissingEntry
+from .doubts import RETURN_GRACE_S, CopyDoubts, MissingEntry
 from .era import format_revision, get_era
 from .model import (
     Change,
@@ -23,11 +23,11 @@
     Snapshot,
 )
 
-# Entries of live replicas are written again within this time after the store's return.
-RETURN_GRACE_S = 2.3
 # A process that has been replaced may write its entry for this long after the new one.
 # Later entries count although they name an earlier start: clocks may be set back.
 LATE_ENTRY_S = 1.0
+# A view that is older may have missed what settles a doubt; watches end within this.
+MAX_SETTLING_AGE_S = 3.0
 
 
 @dataclass(slots=True)
@@ -140,10 +140,8 @@
             self._begin_era(snapshot)
         for instance in self.entries.keys() - snapshot.instances:
             self._handle_removal(instance, snapshot.revision)
-        for data_centre in self.data_centres_out - snapshot.data_centres_out:
-            self._bring_back(data_centre, is_copy)
         changes = self._copy_doubts.select_changes(
-            snapshot.changes, self.entries, self.now()
+            snapshot, self.entries, self.data_centres_out, self.now()
         )
         self._apply_all(snapshot.revision, changes)
         self._record_sync(snapshot.age_s)
@@ -190,11 +188,10 @@
         for instance, missing in list(self._missing.items()):
             if missing.until <= now:
                 self._remove_replica(instance, "entry did not return in time")
-        for entry in self._copy_doubts.take_returned(now):
-            self._put_entry(entry)
-        for data_centre in self._copy_doubts.take_data_centres(now):
-            self._set_data_centre_out(data_centre, False)
-        self._copy_doubts.expire(now)
+        if self.age_s <= MAX_SETTLING_AGE_S:
+            for change in self._copy_doubts.take_settled(now):
+                self._try_apply(change, self.revision)
+            self._copy_doubts.expire(now)
 
     def take_snapshot(self) -> Snapshot:
         """Return what this view holds, without what the store does not say.
@@ -202,18 +199,8 @@
         Replicas whose entry is missing are left out, and so is what is kept although a
         copy of the store says otherwise.
         """
-        changes: list[Change] = [
-            ReplicaChanged(entry)
-            for entry in self.entries.values()
-            if entry.instance not in self._missing
-        ]
-        doubts = self._copy_doubts
-        changes += [ReplicaChanged(dated.entry) for dated in doubts.returned.values()]
-        changes += [
-            DataCentreChanged(name, True)
-            for name in sorted(self.data_centres_out)
-            if name not in doubts.data_centres
-        ]
+        entries = [e for e in self.entries.values() if e.instance not in self._missing]
+        changes = self._copy_doubts.restore_said(entries, self.data_centres_out)
         if self.configuration is not None:
             changes.append(ConfigurationChanged(self.configuration))
         return Snapshot(
@@ -225,6 +212,10 @@
         self.extend_grace_period(RETURN_GRACE_S)
         self._copy_doubts.begin(self.now())
         self.confirmed_revision = 0
+        self._missing = {
+            instance: MissingEntry(missing.revision, self._grace_until)
+            for instance, missing in self._missing.items()
+        }
         structlog.get_logger().warning(
             "store_copy",
             revision=format_revision(snapshot.revision),
@@ -234,14 +225,6 @@
             doubt_s=RETURN_GRACE_S,
         )
 
-    def _bring_back(self, data_centre: str, is_copy: bool) -> None:
-        """Bring a data centre back that a snapshot lists in service, or wait for it."""
-        held_until = self._copy_doubts.data_centres
-        if is_copy:
-            held_until[data_centre] = self.now() + RETURN_GRACE_S
-        elif data_centre not in held_until:
-            self._set_data_centre_out(data_centre, False)
-
     def _apply_all(self, revision: int, changes: list[Change]) -> None:
         before = self.configuration
         for change in changes:
@@ -271,18 +254,24 @@
             case ConfigurationChanged(configuration):
                 self._set_configuration(configuration)
             case ReplicaChanged(entry):
-                self._copy_doubts.note_write(entry.instance)
+                self._copy_doubts.settle_entry(entry.instance)
                 self._put_entry(entry)
             case ReplicaRemoved(instance):
-                self._copy_doubts.note_write(instance)
+                self._copy_doubts.settle_entry(instance)
                 self._handle_removal(instance, revision)
             case DataCentreChanged(data_centre, out):
-                self._copy_doubts.data_centres.pop(data_centre, None)
+                self._copy_doubts.settle_data_centre(data_centre)
                 self._set_data_centre_out(data_centre, out)
 
     def _set_configuration(self, configuration: Configuration) -> None:
         current = self.configuration
         if current is not None and configuration.version <= current.version:
+            if configuration.version < current.version:
+                structlog.get_logger().info(
+                    "configuration_is_old",
+                    version=configuration.version,
+                    in_force=current.version,
+                )
             return
         self.configuration = configuration
         self._configured_at = self.now()
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -7,6 +7,7 @@
 import pytest
 
 from anvilhoist.errors import UsageError
+from anvilhoist.site.drill import drill
 from anvilhoist.site.experiment import experiment, plot_results, run_case
 
 
@@ -32,3 +33,9 @@
         assert 0.0 < measured.cores < 1.0
         plot_results([measured], str(tmp_path / "picture.png"))
         assert (tmp_path / "picture.png").stat().st_size > 0
+
+
+class TestDrillArguments:
+    def test_invalid_size_is_named(self):
+        with pytest.raises(UsageError, match="not a list of whole numbers"):
+            drill(vms="4,many")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -154,6 +154,19 @@
         for key in ("i-1", "i-2", "i-3"):
             assert sum(view.ranks_first_for(key) for view in views) == 1
 
+    def test_vm_that_restarts_with_an_earlier_clock_is_heard(self):
+        """Others' word that it lives must not hide that it has been silent itself."""
+        members = self.make()
+        leaving = VmState.LEAVING
+        members.record(make_heartbeat(2, leaving, incarnation=2000, count=50))
+        told = {encode_ipv4("10.0.0.2"): 10}
+        for count in range(1, 10):
+            self.at += HEARTBEAT_PERIOD_S
+            members.record(make_heartbeat(3, count=count, heard=told))
+            members.record(make_heartbeat(2, incarnation=1000, count=count))
+        ready = {heartbeat.host for heartbeat in members.list_ready()}
+        assert ready == {"10.0.0.2", "10.0.0.3"}
+
 
 class TestHeartbeat:
     def test_round_trip(self):
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -12,7 +12,8 @@
 from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request
 from anvilhoist.peers.exchange import CHANGES_PATH, answer_peer
-from anvilhoist.peers.messages import decode_view
+from anvilhoist.peers.messages import ViewMessage, decode_view, pack_change
+from anvilhoist.peers.reading import _unpack_snapshot
 from anvilhoist.site.store import PAGE_ITEMS, StoreStandin
 from anvilhoist.world.doubts import COPY_DOUBT_S
 from anvilhoist.world.era import (
@@ -37,8 +38,6 @@
 from anvilhoist.world.view import RETURN_GRACE_S, View
 from test_store import put_replica, run_scenario
 
-FOLLOW_S = 2.0  # from the return of the store
-
 
 class Clock:
     def __init__(self):
@@ -78,6 +77,10 @@
     return ConfigurationChanged(Configuration(version, (), {}, ConnectionLimits()))
 
 
+def make_changes(*numbers: int) -> list[ReplicaChanged]:
+    return [ReplicaChanged(make_entry(number)) for number in numbers]
+
+
 def make_copy(*changes, era: int = 1, revision: int = 20) -> Snapshot:
     return Snapshot(join_revision(era, revision), list(changes))
 
@@ -243,6 +246,9 @@
         view.replace(make_full_copy())
         clock.seconds += COPY_DOUBT_S
         view.drop_missing(clock())
+        assert set(view.entries) == {"i-1", "i-2"}
+        view.apply(view.revision, [])
+        view.drop_missing(clock())
         assert set(view.entries) == {"i-1", "i-2", "i-3"}
 
     def test_a_removed_replica_that_is_written_again_is_used_at_once(self, view):
@@ -260,6 +266,7 @@
         "known",
         [
             make_entry(3, 12, draining=True),
+            make_entry(3, 10, draining=True),
             make_entry(3, 1, born_ms=2000, address="10.0.0.2:9"),
         ],
     )
@@ -290,7 +297,8 @@
     def test_a_data_centre_that_nobody_takes_out_again_is_back(self, view, clock):
         view.apply(51, [DataCentreChanged("vaxjo", True)])
         view.replace(make_full_copy())
-        clock.seconds += RETURN_GRACE_S
+        clock.seconds += COPY_DOUBT_S
+        view.apply(view.revision, [])
         view.drop_missing(clock())
         assert not view.data_centres_out
 
@@ -314,8 +322,114 @@
         }
         assert not [c for c in changes if isinstance(c, DataCentreChanged)]
 
+    def test_returned_entry_that_a_second_full_read_lacks_stays_out(self, view, clock):
+        view.apply(51, [ReplicaRemoved("i-3")])
+        view.replace(make_full_copy())
+        clock.seconds += 4.0
+        view.replace(
+            make_copy(*make_changes(1, 2), revision=25)
+        )  # removed again meanwhile
+        told = view.take_snapshot().instances
+        clock.seconds += 2.0
+        view.drop_missing(clock())
+        assert "i-3" not in view.entries
+        assert "i-3" not in told
+
+    def test_removal_that_two_copies_undo_stays(self, view, clock):
+        view.apply(51, [ReplicaRemoved("i-3")])
+        view.replace(make_full_copy())
+        clock.seconds += 1.0
+        view.apply(join_revision(1, 21), [ReplicaRemoved("i-3")])  # removed again
+        clock.seconds += 1.0
+        view.replace(make_copy(*make_changes(1, 2, 3), era=2))
+        assert "i-3" not in view.entries
+
+    def test_entry_missing_before_a_second_copy_gets_the_whole_grace(self, view, clock):
+        view.replace(make_copy(*make_changes(1), era=1))
+        clock.seconds += 2.0
+        view.replace(make_copy(*make_changes(1), era=2, revision=5))
+        clock.seconds += 1.0  # within two seconds of the second return
+        view.drop_missing(clock())
+        assert set(view.entries) == {"i-1", "i-2", "i-3"}
+
+    def test_an_earlier_start_that_is_not_corrected_is_used_in_the_end(
+        self, view, clock
+    ):
+        """Its clock was set back, and it wrote while the store was away."""
+        again = make_entry(3, 1, born_ms=500, address="10.0.0.2:9")
+        view.replace(make_copy(*make_changes(1, 2), ReplicaChanged(again)))
+        for _ in range(10):
+            clock.seconds += 1.0
+            view.apply(view.revision, [])
+            view.drop_missing(clock())
+        assert view.entries["i-3"].address == "10.0.0.2:9"
+
+    def test_data_centre_brought_back_before_the_copy_is_not_all_out(self, view, clock):
+        """The copy holds vaxjo's evacuation, that of ljungby came after it."""
+        view.apply(51, [DataCentreChanged("vaxjo", True)])
+        view.apply(52, [DataCentreChanged("vaxjo", False)])
+        view.apply(53, [DataCentreChanged("ljungby", True)])
+        view.replace(make_full_copy(DataCentreChanged("vaxjo", True)))
+        assert view.data_centres_out != {"vaxjo", "ljungby"}
+
+    @pytest.mark.parametrize("late_s", [2.0, 2.5, 4.5])
+    def test_data_centre_taken_out_again_late_was_out_all_along(
+        self, view, clock, late_s
+    ):
+        view.apply(51, [DataCentreChanged("vaxjo", True)])
+        view.replace(make_full_copy())
+        clock.seconds += late_s
+        view.drop_missing(clock())
+        assert view.data_centres_out == {"vaxjo"}
+
+    def test_long_outage_does_not_forget_removals(self, view, clock):
+        view.apply(51, [ReplicaRemoved("i-3")])
+        clock.seconds += 61.0
+        view.drop_missing(clock())
+        view.replace(make_full_copy())
+        assert "i-3" not in view.entries
+
+    def test_unconfirmed_peer_view_of_new_era_confirms_nothing(self, view, clock):
+        view.extend_grace_period(2.0)
+        view.apply(51, [ReplicaRemoved("i-3")])
+        assert "i-3" in view.entries
+        message = ViewMessage(
+            20, tuple(pack_change(c) for c in make_changes(1, 2)), 0.0, 2.0, 0, 1
+        )
+        view.replace(_unpack_snapshot(message))
+        assert "i-3" in view.entries
+
 
 class TestFollower:
+    def test_relay_moves_the_view_during_an_own_watch(self, view, clock):
+        """A VM that reads through relays asks the store itself; a relay is faster."""
+
+        class Source:
+            async def read_all(self):
+                return Failure
+
+            async def watch(self, after, wait_s):
+                clock.seconds += 0.05
+                view.replace(make_copy(*make_changes(1)))  # from the relay
+                return HistoryGone()  # era 1 answered, era 0 asked
+
+        async def run():
+            async def fetch(revision):
+                return None
+
+            follower = StoreFollower(
+                view, Source(), fetch, clock, reads_store=lambda: False
+            )
+            follower._has_snapshot = True
+            follower._started_at = follower._in_contact_since = clock() - 60.0
+            follower._store_answered_at = clock() - 60.0
+            follower.store_lost = True
+            view.synced_at = clock() - 3.0
+            await follower._sync(0.0)
+
+        asyncio.run(run())
+        assert set(view.entries) == {"i-1", "i-2", "i-3"}
+
     def test_missing_entries_are_not_confirmed_gone_at_once(self, view, clock):
         """A copy may come without an outage that the VM has seen."""
 
