Take no entry that lacks a field; keep what a replica said

Cause: `warmup-left-ms`, `sequence` and `born` had defaults and `version` was not read, so the entry was valid, and with `born` 0 it was taken for a new start, which knew nothing of the old one. Class: a default stands for what another party did not say. Beside it, what a replica had said in its answers was kept by id only: a complete entry of another service under its id made all VMs forget that it was leaving.

An entry that isn't valid counts as removed when it is read, as before. What removed replicas had said is kept by id, start, service and address.

Tests: `test_address_taken_over_by_another_instance` wrote an entry without `version` and `warmup-left-ms`, which names no replica now; it writes all nine, so that it still proves that an address changes hands. Nothing else in it changed.

--- a/src/anvilhoist/platform/documents.py
+++ b/src/anvilhoist/platform/documents.py
@@ -101,16 +101,19 @@
 
 
 class _Replica(_WireStruct):
+    """A replica's entry. No field has a default: another writer may leave one out."""
+
     backend: Annotated[str, Meta(min_length=1)]
     address: Address
     zone: str
+    version: str
     slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Time for which the replica is still cold, not the time since its start.
-    warmup_left_ms: Finite = 0.0
-    sequence: WholeNumber = 0
+    warmup_left_ms: Finite
+    sequence: WholeNumber
     # Wall-clock time of this start in ms; tells incarnations of an instance id apart.
-    born: NonNegativeWhole = 0
+    born: NonNegativeWhole
 
 
 def decode_item(key: str, value: object) -> Change | None:
--- a/src/anvilhoist/upstreams/registry.py
+++ b/src/anvilhoist/upstreams/registry.py
@@ -19,6 +19,9 @@
 FAILING_RATE = 0.3  # share of failed requests above which a replica is failing
 MAX_FORMER_REPLICAS = 500  # removed replicas whose wishes are kept
 
+# Instance, time of its start in ms, service and address of one replica.
+_Identity = tuple[str, int, str, str]
+
 
 def classify_health(health: Health, now: float) -> str:
     """Return the health class of a replica, as logs and metrics name it."""
@@ -64,7 +67,7 @@
     by_instance: dict[str, Replica] = field(default_factory=dict)
     unresponsive_services: set[str] = field(default_factory=set)
     limited_services: set[str] = field(default_factory=set)
-    _former: OrderedDict[str, Replica] = field(default_factory=OrderedDict)
+    _former: OrderedDict[_Identity, Replica] = field(default_factory=OrderedDict)
     _health_classes: dict[str, str] = field(default_factory=dict)
     _by_service: dict[str, list[Replica]] = field(
         default_factory=lambda: defaultdict(list)
@@ -74,11 +77,13 @@
         """Apply the new entry of a replica; an entry of None removes the replica.
 
         A replica that has restarted, or has another service or address, is replaced:
-        its connections and its health estimates no longer apply.
+        its connections and its health estimates no longer apply. What it asked for in
+        answers holds again once an entry with the same start, service and address is
+        back, whatever other entries its id had meanwhile.
         """
         replica = self.by_instance.get(instance)
         if replica is not None and (
-            entry is None or _needs_replacement(replica.entry, entry)
+            entry is None or _identify(replica.entry) != _identify(entry)
         ):
             self._remove_replica(replica)
             replica = None
@@ -171,8 +176,8 @@
         limiter = WarmupLimiter(get_warmup_rate, lambda: self.is_sender(entry.instance))
         quota = ReplicaQuota(lambda: self.rank_sender(entry.instance))
         replica = Replica(entry, self.now, get_connection_limit, limiter, quota)
-        former = self._former.pop(entry.instance, None)
-        if former is not None and not _needs_replacement(former.entry, entry):
+        former = self._former.pop(_identify(entry), None)
+        if former is not None:
             replica.take_wishes(former)
         self.by_instance[entry.instance] = replica
         self._by_service[entry.service].append(replica)
@@ -180,8 +185,7 @@
 
     def _remove_replica(self, replica: Replica) -> None:
         instance = replica.entry.instance
-        self._former[instance] = replica
-        self._former.move_to_end(instance)
+        self._former[_identify(replica.entry)] = replica
         if len(self._former) > MAX_FORMER_REPLICAS:
             self._former.popitem(last=False)
         del self.by_instance[instance]
@@ -190,12 +194,8 @@
         replica.retire()
 
 
-def _needs_replacement(old: ReplicaEntry, new: ReplicaEntry) -> bool:
-    return (old.born_ms, old.service, old.address) != (
-        new.born_ms,
-        new.service,
-        new.address,
-    )
+def _identify(entry: ReplicaEntry) -> _Identity:
+    return entry.instance, entry.born_ms, entry.service, entry.address
 
 
 def _log_health_change(replica: Replica, health_class: str, now: float) -> None:
--- a/src/anvilhoist/world/model.py
+++ b/src/anvilhoist/world/model.py
@@ -129,7 +129,7 @@
     draining : bool
         Whether it is about to stop.
     born_ms : int
-        Wall-clock time of its start in ms; 0 if it publishes none.
+        Wall-clock time of its start in ms.
     cold_s : float
         Remaining time for which it stays cold, in seconds.
     sequence : int
--- a/tests/test_malformed.py
+++ b/tests/test_malformed.py
@@ -44,7 +44,12 @@
 from anvilhoist.platform.store import StoreClient
 from anvilhoist.upstreams.choice import estimate_cost
 from anvilhoist.upstreams.registry import ReplicaRegistry
-from anvilhoist.world.model import ReplicaChanged, ReplicaEntry, Snapshot
+from anvilhoist.world.model import (
+    ReplicaChanged,
+    ReplicaEntry,
+    ReplicaRemoved,
+    Snapshot,
+)
 from anvilhoist.world.source import ChangeBatch
 from anvilhoist.world.view import View
 from conftest import WORKER
@@ -242,6 +247,29 @@
             self.decode(self.make_document(field, text)), ReplicaChanged
         )
 
+    @pytest.mark.parametrize("field", sorted(json.loads(DOCUMENT)))
+    @pytest.mark.parametrize("value", ["missing", None, [], {}])
+    def test_field_that_is_missing_or_of_another_type(self, field, value):
+        # Guards against a default for what the writer of an entry did not say.
+        document = {**json.loads(self.DOCUMENT), field: value}
+        if value == "missing":
+            del document[field]
+        change = self.decode(json.dumps(document).encode())
+        assert change == ReplicaRemoved("i-odd")
+
+    def test_number_for_the_version_names_no_replica(self):
+        assert self.decode(self.make_document("version", "1")) == ReplicaRemoved(
+            "i-odd"
+        )
+
+    def test_each_field_that_the_page_lists_is_written(self):
+        # Guards against a stand-in whose entries would name no replica.
+        listed = {
+            "backend", "address", "zone", "version", "slots", "state",
+            "warmup-left-ms", "sequence", "born",
+        }  # fmt: skip
+        assert set(json.loads(self.DOCUMENT)) == listed
+
     @pytest.mark.parametrize("opening", ["[", '{"a":'])
     def test_nesting_of_a_whole_document_is_refused(self, opening):
         found = self.decode((opening * 150_000).encode())
--- a/tests/test_site.py
+++ b/tests/test_site.py
@@ -7,6 +7,7 @@
 import json
 import signal
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import aiohttp
 import pytest
@@ -402,9 +403,11 @@
             instance = next(iter(site.entries))
             entry = site.entries.pop(instance)
             await site.send_store_command("delete", key=f"servers/{instance}")
-            other = f'{{"backend":"shard-0","address":"{entry.address}",'
-            other += '"zone":"vaxjo","slots":3,"state":"ready","sequence":1,"born":1}'
-            await site.put_store_item("servers/i-other", other.encode())
+            other = replace(
+                entry, instance="i-other", service="shard-0", data_centre="vaxjo",
+                slots=3, draining=False, sequence=1, born_ms=1,
+            )  # fmt: skip
+            await site.put_store_item("servers/i-other", encode_replica(other))
 
         results, _, violations = run_under_load(action)
         assert not violations
--- a/tests/test_wishes.py
+++ b/tests/test_wishes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import json
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -11,6 +13,7 @@
 from anvilhoist.errors import ErrorKind
 from anvilhoist.http.replies import Reply
 from anvilhoist.platform.edge import MAX_QUIET_S, is_leaving, parse_quiet_time
+from anvilhoist.platform.publish import encode_replica
 from virtual_fleet import GATHER_ROUTE, SINGLE_ROUTE, VirtualFleet
 from virtual_time import run_in_virtual_time
 
@@ -19,8 +22,11 @@
 RATE = 60
 REPLICA = "shard-0-0"
 DRAIN_S = 3.0  # time after which a replica that said that it leaves gets nothing
+CONTACT_S = 4.0  # time after which no VM exceeds a limit that a replica named
+LIMIT_WINDOW_S = 4.0
 QUIET_SLACK_S = 0.5  # time after which a replica that asked for quiet has it
 MOST_IN_QUIET = 2  # requests of one VM
+ODD_ENTRY_S = 1.2  # until the replica writes its own entry again
 
 
 def play(monkeypatch, act, route=GATHER_ROUTE, vms=4, copies=2, seconds=20.0):
@@ -34,6 +40,20 @@
     return run_in_virtual_time(main())
 
 
+async def write_odd_entry(fleet: VirtualFleet, kind: str) -> None:
+    """Write an odd entry of a ready replica for a while, and then its own again."""
+    entry = next(iter(fleet.fronts.values())).view.entries[REPLICA]
+    odd = json.loads(encode_replica(replace(entry, draining=False)))
+    if kind == "incomplete":
+        for field in ("version", "warmup-left-ms", "sequence", "born"):
+            del odd[field]
+    else:
+        odd["backend"] = "nowhere"
+    fleet.write_document(REPLICA, odd)
+    await asyncio.sleep(ODD_ENTRY_S)
+    fleet.put_entry(replace(entry, sequence=entry.sequence + 1))
+
+
 def count_arrivals(fleet: VirtualFleet, start: float, end: float) -> int:
     return sum(start <= at < end for at in fleet.replicas.arrivals[REPLICA])
 
@@ -99,6 +119,79 @@
         assert not is_leaving([])
 
 
+@pytest.mark.parametrize("kind", ["incomplete", "unknown_service"])
+@pytest.mark.parametrize("route", [GATHER_ROUTE, SINGLE_ROUTE])
+class TestOddEntry:
+    """An entry of another writer under a replica's id, and then the replica's own."""
+
+    def test_draining_replica_gets_nothing_later(self, monkeypatch, kind, route):
+        # Guards against an entry that calls a draining replica ready.
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            entry = next(iter(fleet.fronts.values())).view.entries[REPLICA]
+            fleet.put_entry(replace(entry, draining=True))
+            await asyncio.sleep(4.0)
+            await write_odd_entry(fleet, kind)
+
+        fleet = play(monkeypatch, act, route)
+        assert count_arrivals(fleet, 0.0, 5.0) > 10
+        assert count_arrivals(fleet, 5.0 + DRAIN_S, 30.0) == 0
+
+    def test_replica_that_leaves_gets_nothing_later(self, monkeypatch, kind, route):
+        # Guards against an odd entry after which its own is taken for a new start.
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            fleet.replicas.more_headers[REPLICA] = [(b"server-leaving", b"1")]
+            await asyncio.sleep(4.0)
+            await write_odd_entry(fleet, kind)
+
+        fleet = play(monkeypatch, act, route)
+        assert count_arrivals(fleet, 0.0, 5.0) > 10
+        assert count_arrivals(fleet, 5.0 + DRAIN_S, 30.0) == 0
+
+    def test_replica_that_asked_for_quiet_has_it(self, monkeypatch, kind, route):
+        quiet_s = 10.0
+
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            fleet.replicas.quiet[REPLICA] = b"%d" % quiet_s
+            for _ in range(3):
+                await asyncio.sleep(1.0)
+                await write_odd_entry(fleet, kind)
+
+        fleet = play(monkeypatch, act, route, vms=1, copies=1)
+        asked_at = min(fleet.replicas.asked_quiet[REPLICA])
+        arrivals = count_arrivals(fleet, asked_at + QUIET_SLACK_S, asked_at + quiet_s)
+        assert arrivals <= MOST_IN_QUIET
+
+    def test_replica_that_names_a_limit_gets_no_more(self, monkeypatch, kind, route):
+        async def act(fleet):
+            await asyncio.sleep(2.0)
+            fleet.replicas.limits[REPLICA] = b"0.5"
+            await asyncio.sleep(CONTACT_S)
+            for _ in range(4):
+                await write_odd_entry(fleet, kind)
+                await asyncio.sleep(1.0)
+
+        fleet = play(monkeypatch, act, route)
+        since = fleet.replicas.named_at[REPLICA] + CONTACT_S
+        most = fleet.replicas.count_most(REPLICA, LIMIT_WINDOW_S, since)
+        assert 0 < most <= 1.5 * 0.5 * LIMIT_WINDOW_S + 5
+
+    def test_replica_is_used_again_once_its_entry_is_back(
+        self, monkeypatch, kind, route
+    ):
+        async def act(fleet):
+            await asyncio.sleep(5.0)
+            await write_odd_entry(fleet, kind)
+
+        fleet = play(monkeypatch, act, route)
+        odd_until = 5.0 + ODD_ENTRY_S
+        assert count_arrivals(fleet, 5.0, odd_until) == 0
+        assert count_arrivals(fleet, odd_until, 20.0) > 10
+        assert fleet.results["whole"] >= 0.95 * sum(fleet.results.values())
+
+
 class TestQuiet:
     @pytest.mark.parametrize("route", [GATHER_ROUTE, SINGLE_ROUTE])
     @pytest.mark.parametrize("limit", [None, b"30"])
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import base64
+import json
 import re
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field, replace
@@ -18,6 +20,8 @@
 from anvilhoist.http.replies import Reply, ServerRequest
 from anvilhoist.peers.heartbeats import HEARTBEAT_PERIOD_S
 from anvilhoist.peers.messages import VmState
+from anvilhoist.platform.documents import decode_item
+from anvilhoist.platform.publish import replica_key
 from anvilhoist.world.model import (
     Configuration,
     ConfigurationChanged,
@@ -287,6 +291,13 @@
         for front in self.fronts.values():
             front.view.apply(front.view.revision + 1, [ReplicaChanged(entry)])
 
+    def write_document(self, instance: str, document: dict) -> None:
+        """Write a document under the key of a replica, as any writer may."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        change = decode_item(replica_key(instance), value)
+        for front in self.fronts.values():
+            front.view.apply(front.view.revision + 1, [change])
+
     def kill(self, number: int) -> None:
         """End a VM at once; it sends nothing more."""
         host = f"10.0.0.{number}"
