Read the body of a request that offers to upgrade the connection

Callers that offered an upgrade with a request (`Connection: Upgrade`, `Upgrade: h2c`) got 200 for a request that a replica had run with an empty body. What they sent behind it was dropped and the connection closed. `CONNECT` with a path that matches a route was sent on without its body.

Cause: the parser ends such a request at its head and leaves the choice to the server; the reader took that for the end of the request. Class: the peer's wish, or a library's guess about it, taken for a change that is agreed.

Change: where the parser stops at an offer, a new one gets the method and the headers that say where the body ends, and reads on: the body, and the requests behind it. `CONNECT` is refused with 501 and its connection closed: it has no body by its definition, and what is behind it need not be HTTP, so to read it as requests would run what no client sent.

--- a/src/anvilhoist/http/request_reader.py
+++ b/src/anvilhoist/http/request_reader.py
@@ -13,11 +13,16 @@
 from .messages import Headers, Request, find_header
 
 HEADER_FRAMING_BYTES = 4  # ": " and CRLF of a header line
+# Headers that say where a body ends.
+BODY_FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class RequestReader:
     """Reader of the requests of one connection, in order.
 
+    Offers to upgrade the connection are ignored, and `CONNECT` is refused: what is
+    received is HTTP/1.1 to the end.
+
     Parameters
     ----------
     read_limits : callable
@@ -86,10 +91,7 @@
         if not was_in_body:
             self.head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The request itself is complete; the bytes after it are not HTTP.
-            self.end()
+            self._parse(data)
         except httptools.HttpParserError:
             self.refuse(400)
         if not self.is_reading_body:
@@ -118,13 +120,16 @@
         self._on_begin = self._on_request = self._on_refused = None
 
     def on_message_begin(self) -> None:
-        """Start a request."""
+        """Start a request, unless its head has been read."""
+        if self.is_reading_body:
+            return
         self.is_reading_head = True
         self._on_begin()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target."""
-        self._url += url
+        if not self.is_reading_body:
+            self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
@@ -132,7 +137,9 @@
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Check the size of the head and, where it is known, of the body."""
+        """Check the method, the size of the head and that of the body, if known."""
+        if self.is_reading_body:
+            return
         self.is_reading_head = False
         self.is_reading_body = True
         # The bytes counted so far may include some of the body, so the size of the
@@ -142,6 +149,9 @@
             for name, value in self._headers
         )
         self._check_head_size()
+        # It asks for a tunnel; what is behind its head need not be HTTP.
+        if self._parser.get_method() == b"CONNECT":
+            self.refuse(501)
         content_length = find_header(self._headers, b"content-length") or b""
         if content_length.isdigit():
             self._content_length = int(content_length)
@@ -155,7 +165,9 @@
             self._body.add(body)
 
     def on_message_complete(self) -> None:
-        """Report the complete request."""
+        """Report the complete request, unless only its head has been read."""
+        if self._parser.should_upgrade():
+            return
         self._check_body_size(self._body.size_bytes)
         if self.ended:
             return
@@ -172,6 +184,35 @@
         self._reset_request()
         self._on_request(request)
 
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes to the end, past offers to upgrade the connection."""
+        while not self.ended:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                (head_end,) = offer.args
+            data = data[head_end:]
+            self._parse_without_offer()
+
+    def _parse_without_offer(self) -> None:
+        """Go on with a parser that knows the request that is being read, not its offer.
+
+        The parser that met the offer takes what follows the head for another protocol.
+        """
+        if self.ended:
+            return
+        lines = [b"%s / HTTP/1.1" % self._parser.get_method()]
+        lines += [
+            b"%s: %s" % header
+            for header in self._headers
+            if header[0] in BODY_FRAMING_HEADERS
+        ]
+        if not self._parser.should_keep_alive():
+            lines.append(b"connection: close")
+        self._parser = httptools.HttpRequestParser(self)
+        self._parser.feed_data(b"\r\n".join(lines) + b"\r\n\r\n")
+
     def _check_head_size(self) -> None:
         if self.head_bytes > self._read_limits().header_bytes:
             self.refuse(431)
