Follow the store when its changes exceed one answer

Cause: a watch returns all events since a revision, and what is read for one request is bounded to 4 MiB. The follower took the refused answer for a store that does not answer, and asked for the same changes again until the store dropped its history. Class: what the store may legally say must be followed, in memory that is bounded.

Change: an answer to a watch above the bound is a kind of failure of its own. The follower then reads everything in current pages, which the store bounds, and asks for no changes until that has succeeded; a start from stale pages does so too. Time-outs, resets, malformed answers and other statuses are failures as before, and so is a page above the bound. The stand-in of the store ends a page at 1 MB as well.

--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -42,6 +42,7 @@
     STORE_UNREACHED = "store_unreached"
     STORE_UNREADABLE = "store_unreadable"
     STORE_HISTORY_GONE = "store_history_gone"
+    STORE_ANSWER_TOO_LARGE = "store_answer_too_large"
     NO_CONFIGURATION = "no_configuration"
     NO_ROUTE = "no_route"
     NO_REPLICA = "no_replica"
@@ -94,6 +95,7 @@
     ErrorKind.STORE_UNREACHED: ErrorResponse(503, Executed.NO),
     ErrorKind.STORE_UNREADABLE: ErrorResponse(503, Executed.NO),
     ErrorKind.STORE_HISTORY_GONE: ErrorResponse(503, Executed.NO),
+    ErrorKind.STORE_ANSWER_TOO_LARGE: ErrorResponse(503, Executed.NO),
     ErrorKind.NO_CONFIGURATION: ErrorResponse(503, Executed.NO),
     ErrorKind.NO_ROUTE: ErrorResponse(404, Executed.NO),
     ErrorKind.NO_REPLICA: ErrorResponse(503, Executed.NO),
--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -54,6 +54,8 @@
         the pool.
     keep_alive_timeout_s : float or None
         Timeout of the last Keep-Alive header in seconds, or None without one.
+    body_too_large : bool
+        Whether it was closed because a body exceeded `MAX_RESPONSE_BODY_BYTES`.
     """
 
     def __init__(self, on_closed: Callable[[ServerConnection], None]):
@@ -73,6 +75,7 @@
         self.closed = False
         self.idle_since = 0.0
         self.keep_alive_timeout_s: float | None = None
+        self.body_too_large = False
         self._reset_response()
 
     @property
@@ -210,6 +213,7 @@
         self._body_bytes += len(body)
         self._framing_bytes -= len(body)
         if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
+            self.body_too_large = True
             self._fail(f"response body exceeds {MAX_RESPONSE_BODY_BYTES} bytes")
 
     def on_message_complete(self) -> None:
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -16,7 +16,13 @@
 from ..http.exchange import ServerConnection
 from ..http.messages import Headers, encode_request, find_header
 from ..http.replies import Reply
-from ..world.era import MAX_ERA, get_era, get_store_revision, join_revision
+from ..world.era import (
+    MAX_ERA,
+    format_revision,
+    get_era,
+    get_store_revision,
+    join_revision,
+)
 from ..world.model import Change, DataCentreChanged, Snapshot
 from ..world.source import ChangeBatch, HistoryGone
 from . import names
@@ -71,6 +77,7 @@
     _named_era: int | None = None
     _ignored_era: bytes = b""
     _reads_current_until: float = -math.inf
+    _lags_far: bool = False
     _connection: ServerConnection | None = None
 
     @property
@@ -80,15 +87,16 @@
 
     @property
     def _may_read_stale(self) -> bool:
-        return asyncio.get_running_loop().time() >= self._reads_current_until
+        now = asyncio.get_running_loop().time()
+        return now >= self._reads_current_until and not self._lags_far
 
     async def read_all(self) -> Snapshot | Failure:
         """Read everything that is published.
 
         Stale pages are read first: they cost a tenth of a call and don't count towards
         the rate of calls. The changes since then make them current. If the store no
-        longer has those changes, current pages are read; so they are while stale ones
-        may be older than the copy from which the store came back.
+        longer has those changes, or they are too large, current pages are read; so they
+        are while stale ones may be older than the copy from which the store came back.
 
         Returns
         -------
@@ -106,7 +114,7 @@
         match newer:
             case ChangeBatch(revision, changes):
                 return Snapshot(revision, stale.changes + changes)
-            case HistoryGone():
+            case HistoryGone() | Failure(ErrorKind.STORE_ANSWER_TOO_LARGE):
                 return await self._read_pages(allow_stale=False)
         return newer
 
@@ -115,6 +123,9 @@
     ) -> ChangeBatch | HistoryGone | Failure:
         """Wait for changes after a revision.
 
+        The store bounds its pages, but not this answer. If it is too large, the next
+        `read_all` reads current pages.
+
         Parameters
         ----------
         after : int
@@ -138,6 +149,11 @@
         if isinstance(answer, Failure):
             if answer.kind is ErrorKind.STORE_HISTORY_GONE:
                 return HistoryGone()
+            if answer.kind is ErrorKind.STORE_ANSWER_TOO_LARGE:
+                self._lags_far = True
+                structlog.get_logger().info(
+                    "store_answer_too_large", known=format_revision(after)
+                )
             return answer
         if answer.era != get_era(after):
             return HistoryGone()
@@ -174,6 +190,7 @@
                         "the store came back from a copy between two pages",
                     )
                 if not page.document.get("has-more"):
+                    self._lags_far = False
                     return Snapshot(min(revisions), changes)
                 after = _find_last_key(items)
             except MALFORMED_ERRORS as error:
@@ -205,8 +222,11 @@
             self.close()
             return Failure(ErrorKind.STORE_UNREACHED, f"{path}: {error}")
         if isinstance(reply, Failure):
+            kind = ErrorKind.STORE_UNREACHED
+            if self._connection.body_too_large:
+                kind = ErrorKind.STORE_ANSWER_TOO_LARGE
             self.close()
-            return Failure(ErrorKind.STORE_UNREACHED, f"{path}: {reply.detail}")
+            return Failure(kind, f"{path}: {reply.detail}")
         self._note_era(reply.headers)
         if reply.status == 410:
             return Failure(ErrorKind.STORE_HISTORY_GONE, path)
--- a/src/anvilhoist/site/store.py
+++ b/src/anvilhoist/site/store.py
@@ -21,6 +21,7 @@
 from ..process import run_cli, wait_for_stop_signal
 
 PAGE_ITEMS = 50  # Most items on a page; the users' store sends pages this small.
+PAGE_BYTES = 1 << 20  # A page ends with the value that reaches this size.
 SILENT_MODE_HOLD_S = 30.0  # In mode "silent", the time before a call gets status 503.
 MODES = ("serve", "busy", "silent", "flood")
 FLOOD_HEADERS = 200_000  # of an answer in mode "flood", several times what is read
@@ -141,8 +142,14 @@
         keys = sorted(
             key for key in items if key.startswith(query.prefix) and key > query.after
         )
-        page = [(key, *items[key]) for key in keys[:PAGE_ITEMS]]
-        return encode_items(page, len(keys) > PAGE_ITEMS, revision)
+        page: list[StoreItem] = []
+        page_bytes = 0
+        for key in keys[:PAGE_ITEMS]:
+            page.append((key, *items[key]))
+            page_bytes += len(items[key][0])
+            if page_bytes >= PAGE_BYTES:
+                break
+        return encode_items(page, len(keys) > len(page), revision)
 
     async def _watch(self, query: StoreQuery) -> Response:
         after = int(query.after)
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from ..errors import Failure
+from ..errors import ErrorKind, Failure
 from .era import format_revision, get_era
 from .model import Snapshot
 from .source import ChangeSource, HistoryGone
@@ -109,6 +109,9 @@
             found = await self.source.read_all()
         else:
             found = await self.source.watch(self.view.revision, wait_s)
+            if _is_too_large(found):
+                self._has_snapshot = False
+                found = await self.source.read_all()
         if isinstance(found, Failure):
             self._record_failure(found)
             return False
@@ -197,3 +200,7 @@
         )
         self.view.replace(found)
         self._has_snapshot = True
+
+
+def _is_too_large(found: object) -> bool:
+    return isinstance(found, Failure) and found.kind is ErrorKind.STORE_ANSWER_TOO_LARGE
--- a/src/anvilhoist/world/source.py
+++ b/src/anvilhoist/world/source.py
@@ -44,7 +44,8 @@
         Returns
         -------
         ChangeBatch, HistoryGone or Failure
-            A batch without changes if there were none in that time.
+            A batch without changes if there were none in that time. The kind of failure
+            is `STORE_ANSWER_TOO_LARGE` if only a full read helps.
         """
 
     def close(self) -> None:
