--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -19,7 +19,7 @@
     parse_keep_alive_timeout,
 )
 from .parse_queue import SLICE_BYTES, ParseQueue
-from .replies import OriginReader, Outcome, Reply, ResponseOrigin, ServerRequest
+from .replies import OriginCheck, OriginReader, Outcome, Reply, ServerRequest
 from .tcp_info import closed_gracefully
 
 # The kernel closes a connection whose sent bytes stay unacknowledged for this long
@@ -62,7 +62,7 @@
         self._on_closed = on_closed
         self._on_outcome: Callable[[Outcome], None] | None = None
         self._read_origin: OriginReader | None = None
-        self._responses_name_requests = False
+        self._origins = OriginCheck()
         self._transport: asyncio.Transport | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._budget: ClientBudget | None = None
@@ -272,7 +272,7 @@
             self._close_after("response body ends with the connection")
         if self._is_head_request:
             self._close_after("connection is not reused after a HEAD request")
-        if not self._is_to_this_request():
+        if not self._origins.accepts(self._read_origin(self._headers)):
             self._close_after("response to another request")
             return
         timeout_s = parse_keep_alive_timeout(self._headers)
@@ -282,13 +282,6 @@
             self._close_after("response came before the whole request was sent")
         self._outcome = Reply(status, self._headers, self._body.join())
 
-    def _is_to_this_request(self) -> bool:
-        origin = self._read_origin(self._headers)
-        if origin is ResponseOrigin.UNNAMED:
-            return not self._responses_name_requests
-        self._responses_name_requests = True
-        return origin is ResponseOrigin.THIS_REQUEST
-
     def _close_after(self, reason: str) -> None:
         """Close the connection after this exchange; the first reason is kept."""
         self._close_reason = self._close_reason or reason
--- a/src/anvilhoist/http/replies.py
+++ b/src/anvilhoist/http/replies.py
@@ -29,6 +29,23 @@
     UNNAMED = "unnamed"
 
 
+@dataclass(slots=True)
+class OriginCheck:
+    """Tells which responses on a connection are to the request outstanding there."""
+
+    _responses_name_requests: bool = False
+
+    def accepts(self, origin: ResponseOrigin) -> bool:
+        """Return whether a response is to the outstanding request.
+
+        Once a response has named a request, one that names none belongs to none.
+        """
+        if origin is ResponseOrigin.UNNAMED:
+            return not self._responses_name_requests
+        self._responses_name_requests = True
+        return origin is ResponseOrigin.THIS_REQUEST
+
+
 OriginReader = Callable[[Headers], ResponseOrigin]
 
 
