Forward no header that any Connection line names

A client whose headers had `Connection` in two lines had what the second one names forwarded to replicas, though it concerns only its own connection (`HTTP2-Settings` behind `keep-alive`); the same held for responses.

Cause: only the first line was read, though a list may be spread over several. Class: a header that may occur more than once read as if it occurred once.

Evidence: the new test in tests/test_edges.py failed on the code before.

Change: all lines are read.

Measured: the tests of edges, single requests and malformed input pass.

--- a/src/anvilhoist/http/messages.py
+++ b/src/anvilhoist/http/messages.py
@@ -122,11 +122,13 @@
     -------
     list of tuple of bytes
         Headers that are neither in `replaced`, nor hop-by-hop, nor named by the
-        Connection header.
+        Connection headers.
     """
-    connection_value = find_header(headers, b"connection") or b""
     connection_options = {
-        token.strip().lower() for token in connection_value.split(b",")
+        token.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for token in value.split(b",")
     }
     return [
         (key, value)
--- a/tests/test_edges.py
+++ b/tests/test_edges.py
@@ -152,6 +152,18 @@
             (b"x-other", b"2")
         ]
 
+    def test_headers_named_by_any_connection_header_are_not_forwarded(self):
+        headers = [
+            (b"connection", b"keep-alive"),
+            (b"connection", b"Upgrade, HTTP2-Settings"),
+            (b"upgrade", b"h2c"),
+            (b"http2-settings", b"AAEAAEAA"),
+            (b"te", b"trailers"),
+            (b"x-other", b"2"),
+        ]
+        kept = strip_hop_by_hop_headers(headers, frozenset())
+        assert kept == [(b"x-other", b"2")]
+
 
 class TestRouteTable:
     def test_longest_prefix_of_the_host_is_found(self):
