Keep what a replica asks for across a missing entry, also in answers that are due still

Cause: while an entry is missing for a moment, a new object stands for the same replica and takes a copy of what the old one had been asked for. Answers to requests that the old one had sent are noted there only. Class: a belief kept at the object that asked, not at the one it is about.

Change: what a replica asks for is one object that both share, as the quota was already.

--- a/src/anvilhoist/forward/context.py
+++ b/src/anvilhoist/forward/context.py
@@ -269,8 +269,8 @@
 
     def _record_wishes(self, replica: Replica, reply: Reply) -> None:
         """Note that a replica leaves, or wants no requests for a while."""
-        if is_leaving(reply.headers) and not replica.leaving:
-            replica.leaving = True
+        if is_leaving(reply.headers) and not replica.wishes.leaving:
+            replica.wishes.leaving = True
             replica.close_idle_connections()
             self.metrics.increment("replica_leaving")
             structlog.get_logger().info(
@@ -281,8 +281,9 @@
         quiet_s = parse_quiet_time(reply)
         if quiet_s <= 0.0:
             return
-        was_quiet = self.now() < replica.quiet_until
-        replica.quiet_until = max(replica.quiet_until, self.now() + quiet_s)
+        wishes = replica.wishes
+        was_quiet = self.now() < wishes.quiet_until
+        wishes.quiet_until = max(wishes.quiet_until, self.now() + quiet_s)
         self.metrics.increment("replica_quiet")
         if not was_quiet:
             structlog.get_logger().info(
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -56,6 +56,22 @@
             self._on_cancel()
 
 
+@dataclass(slots=True)
+class ReplicaWishes:
+    """What a replica has asked for in answers, from its start on.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it has said that it leaves.
+    quiet_until : float
+        Time up to which it wants no requests from this VM, in seconds.
+    """
+
+    leaving: bool = False
+    quiet_until: float = 0.0
+
+
 @dataclass(slots=True)
 class Replica:
     """A replica of a service, with this VM's connections to it.
@@ -80,10 +96,8 @@
     retired : bool
         Whether it gets no more requests, because it was removed or replaced, or another
         instance has its address.
-    leaving : bool
-        Whether it has said in an answer that it leaves.
-    quiet_until : float
-        Time up to which it wants no requests from this VM, in seconds.
+    wishes : ReplicaWishes
+        What it has asked for in answers.
     connection_count, connections_opened : int
         Connections that are open or being opened, and all attempts to open one.
     """
@@ -95,8 +109,7 @@
     quota: ReplicaQuota = field(default_factory=ReplicaQuota)
     health: Health = field(default_factory=Health)
     retired: bool = False
-    leaving: bool = False
-    quiet_until: float = 0.0
+    wishes: ReplicaWishes = field(default_factory=ReplicaWishes)
     connection_count: int = 0
     connections_opened: int = 0
     _idle_connections: list[ServerConnection] = field(default_factory=list)
@@ -106,9 +119,10 @@
     @property
     def accepts_requests(self) -> bool:
         """Whether it may get requests: it neither leaves nor wants none for a while."""
-        if self.retired or self.leaving or self.entry.draining:
+        if self.retired or self.wishes.leaving or self.entry.draining:
             return False
-        return not self.quiet_until or self.now() >= self.quiet_until
+        quiet_until = self.wishes.quiet_until
+        return not quiet_until or self.now() >= quiet_until
 
     def is_usable(self, now: float) -> bool:
         """Return whether it may get a request now and is expected to answer it."""
@@ -181,10 +195,12 @@
         return exchange
 
     def take_wishes(self, former: Replica) -> None:
-        """Keep to what the same replica asked for before its entry was missing."""
+        """Keep to what the same replica asks for, also in answers that are due still.
+
+        They are shared with the object that stood for it before its entry was missing.
+        """
         self.quota = former.quota
-        self.leaving = former.leaving
-        self.quiet_until = former.quiet_until
+        self.wishes = former.wishes
 
     def check_end(self, on_ended: Callable[[], None]) -> None:
         """Call a function if the replica has ended, that is, accepts no connection.
--- a/tests/test_wishes.py
+++ b/tests/test_wishes.py
@@ -192,6 +192,31 @@
         assert fleet.results["whole"] >= 0.95 * sum(fleet.results.values())
 
 
+class TestAnswerToEarlierRequest:
+    """The entry is missing for a moment while a request is open at the replica."""
+
+    @pytest.mark.parametrize("asks_quiet", [False, True])
+    def test_what_it_asks_for_holds_for_the_entry_that_is_back(
+        self, monkeypatch, asks_quiet
+    ):
+        async def main():
+            fleet = VirtualFleet(monkeypatch, 1, copies=1)
+            fleet.replicas.answer_s = 1.0
+            front = fleet.fronts["10.0.0.1"]
+            request = asyncio.create_task(fleet.request(front, SINGLE_ROUTE))
+            await asyncio.sleep(0.5)
+            if asks_quiet:
+                fleet.replicas.quiet[REPLICA] = b"30"
+            else:
+                fleet.replicas.more_headers[REPLICA] = [(b"server-leaving", b"1")]
+            fleet.put_entry(fleet.remove_entry(REPLICA))
+            assert front.replicas.by_instance[REPLICA].accepts_requests
+            await request
+            return front.replicas.by_instance[REPLICA].accepts_requests
+
+        assert run_in_virtual_time(main()) is False
+
+
 class TestQuiet:
     @pytest.mark.parametrize("route", [GATHER_ROUTE, SINGLE_ROUTE])
     @pytest.mark.parametrize("limit", [None, b"30"])
