Refuse bodies in transfer codings other than chunked

A request with `Transfer-Encoding: gzip, chunked` was run with its body still compressed, and nothing told the replica; a replica's response in such a coding reached its caller in the same form, as a success.

Cause: the parser undoes the chunks and nothing else, and the header is dropped as one of the connection. Class: a header dropped whose meaning was not carried out.

Change: such a request is refused with 501 before anything is sent, its connection closed. Codings that the parser refused with 400 get 501, too. Such a response is a failure: 502, or a retry where one is allowed.

--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -16,6 +16,7 @@
     JOINED_BODY_BYTES,
     Headers,
     find_header,
+    has_foreign_coding,
     parse_keep_alive_timeout,
 )
 from .parse_queue import SLICE_BYTES, ParseQueue
@@ -194,6 +195,8 @@
         status = self._parser.get_status_code()
         if status not in HTTP_STATUSES:
             self._fail(f"status {status:03} is no HTTP status")
+        if has_foreign_coding(self._headers):
+            self._fail("response in a transfer coding other than chunked")
         framed = any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self._headers
--- a/src/anvilhoist/http/messages.py
+++ b/src/anvilhoist/http/messages.py
@@ -100,6 +100,14 @@
     return None
 
 
+def has_foreign_coding(headers: Headers) -> bool:
+    """Return whether a body comes in a transfer coding other than `chunked`."""
+    return any(
+        key == b"transfer-encoding" and value.strip().lower() != b"chunked"
+        for key, value in headers
+    )
+
+
 def parse_keep_alive_timeout(headers: Headers) -> float | None:
     """Return the timeout of the Keep-Alive header in seconds, or None without one."""
     value = find_header(headers, b"keep-alive") or b""
--- a/src/anvilhoist/http/request_reader.py
+++ b/src/anvilhoist/http/request_reader.py
@@ -10,7 +10,7 @@
 from .body import Body
 from .client_budget import HEADER_BYTES, REQUEST_BYTES
 from .limits import ConnectionLimits
-from .messages import Headers, Request, find_header
+from .messages import Headers, Request, find_header, has_foreign_coding
 
 HEADER_FRAMING_BYTES = 4  # ": " and CRLF of a header line
 # Headers that say where a body ends.
@@ -149,8 +149,9 @@
             for name, value in self._headers
         )
         self._check_head_size()
-        # It asks for a tunnel; what is behind its head need not be HTTP.
-        if self._parser.get_method() == b"CONNECT":
+        # What is behind the head of `CONNECT` need not be HTTP.
+        is_tunnel = self._parser.get_method() == b"CONNECT"
+        if is_tunnel or has_foreign_coding(self._headers):
             self.refuse(501)
         content_length = find_header(self._headers, b"content-length") or b""
         if content_length.isdigit():
