Tell silent connections to the store from an outage of it

A replica whose entry had been removed got requests 3.9 s after it, when open connections to the store had gone silent without a reset while new ones worked; 3 s are allowed. Callers saw nothing.

Cause: a VM noticed the silence when its watch timed out, up to 2.8 s later, read the removal 0.3 s after that, took the silence for an outage in which entries may have lapsed, and kept the replica for 2.3 s more. Class: lack of an answer on one connection taken for a state of the other party.

Change: beside a watch a VM that reads the store probes it on a new connection, by a stale read at a tenth of a call: in the middle, and once the watch is overdue by 0.3 s. Both answered and the watch not: the connection is silent, the watch is made anew at once and removals count. Only the second answered, or the process suspended meanwhile: an outage, what is missing stays in doubt. No time of the grace changes. New: log event store_silent, metric store_probes.

--- a/src/anvilhoist/front/process.py
+++ b/src/anvilhoist/front/process.py
@@ -182,6 +182,7 @@
             read_boottime,
             self._count_readers,
             lambda: self.peer_reader.reads_store,
+            self.store_client.probe,
         )
         self._subscribe_timers()
         register_gauges(self)
--- a/src/anvilhoist/front/report.py
+++ b/src/anvilhoist/front/report.py
@@ -81,7 +81,9 @@
     )
     metrics.register_gauge("store_era", lambda: float(get_era(view.revision)))
     metrics.register_gauge("reads_store", lambda: float(front.peer_reader.reads_store))
-    metrics.register_gauge("store_calls", lambda: float(front.store_client.call_count))
+    store = front.store_client
+    metrics.register_gauge("store_calls", lambda: float(store.call_count))
+    metrics.register_gauge("store_probes", lambda: float(store.probe_count))
     metrics.register_gauge(
         "peers_heard", lambda: float(len(front.members.list_alive_hosts()))
     )
--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -27,6 +27,7 @@
 from ..world.source import ChangeBatch, HistoryGone
 from . import names
 from .documents import decode_item, decode_removal
+from .probe import probe_store
 
 CONNECT_TIMEOUT_S = 1.0  # the store answers in milliseconds
 READ_TIMEOUT_S = 1.5  # for one page; several hundred times its usual time
@@ -69,11 +70,14 @@
     address : str
         IP address and port of the store.
     call_count : int
-        Number of calls made.
+        Number of calls made, without probes.
+    probe_count : int
+        Number of probes made; each costs a tenth of a call.
     """
 
     address: str
     call_count: int = 0
+    probe_count: int = 0
     _named_era: int | None = None
     _ignored_era: bytes = b""
     _reads_current_until: float = -math.inf
@@ -165,6 +169,11 @@
                 ErrorKind.STORE_UNREADABLE, f"malformed answer to a watch: {error!r}"
             )
 
+    async def probe(self) -> bool:
+        """Return whether the store answers on a new connection, also beside a call."""
+        self.probe_count += 1
+        return await probe_store(self.address)
+
     async def _read_pages(self, allow_stale: bool) -> Snapshot | Failure:
         # Pages may be of different revisions. The snapshot bears the oldest, since the
         # changes after that may be missing.
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -11,11 +11,13 @@
 from ..errors import ErrorKind, Failure
 from .era import format_revision, get_era
 from .model import Snapshot
-from .source import ChangeSource, HistoryGone
+from .source import ChangeBatch, ChangeSource, HistoryGone
 from .view import RETURN_GRACE_S, View
 
 # How long one watch waits for changes; a dead connection is detected after this.
 WATCH_WAIT_S = 2.0
+# A watch that is unanswered for this much longer may be on a silent connection.
+WATCH_OVERDUE_S = 0.3
 # Pause between two watches. The minimum makes changes come in batches; each further VM
 # that reads the store adds to it; the maximum keeps the time until a change is in force
 # well within 3 s.
@@ -51,6 +53,7 @@
 
 
 FetchFromPeer = Callable[[int], Awaitable[Snapshot | None]]
+ProbeStore = Callable[[], Awaitable[bool]]
 
 
 @dataclass(slots=True)
@@ -72,6 +75,9 @@
         Returns the number of VMs that read from the same store.
     reads_store : callable
         Returns whether this VM is to read the store itself, not through others.
+    probe : callable or None
+        Coroutine function that returns whether the store answers on a new connection,
+        at a tenth of the cost of a call. None if that isn't asked.
     """
 
     view: View
@@ -80,6 +86,7 @@
     now: Callable[[], float]
     count_readers: Callable[[], int] = lambda: 1
     reads_store: Callable[[], bool] = lambda: True
+    probe: ProbeStore | None = None
     store_lost: bool = False
     _store_answered_at: float | None = None
     _started_at: float = 0.0
@@ -108,7 +115,7 @@
         if not self._has_snapshot:
             found = await self.source.read_all()
         else:
-            found = await self.source.watch(self.view.revision, wait_s)
+            found = await self._watch(wait_s)
             if _is_too_large(found):
                 self._has_snapshot = False
                 found = await self.source.read_all()
@@ -138,6 +145,54 @@
         self.view.replace(snapshot, leaves_era)
         self._has_snapshot = True
 
+    async def _watch(self, wait_s: float) -> ChangeBatch | HistoryGone | Failure:
+        """Watch the store, anew if the connection turns out to be silent.
+
+        Entries lapse when replicas have been silent for several check-ins. If the store
+        answers between two watches, in the middle of the second, and once that one is
+        overdue, it can't have been away for long enough.
+        """
+        if self.probe is None or self.store_lost or wait_s < WATCH_OVERDUE_S:
+            return await self.source.watch(self.view.revision, wait_s)
+        start = asyncio.get_running_loop().time()
+        asked_at = self.now()
+        middle_s = max(0.0, wait_s - choose_watch_pause(self.count_readers())) / 2
+        watch = asyncio.ensure_future(self.source.watch(self.view.revision, wait_s))
+        try:
+            has_answered = await self._probe_beside(watch, start + middle_s)
+            overdue_at = start + wait_s + WATCH_OVERDUE_S
+            if not await self._probe_beside(watch, overdue_at) or watch.done():
+                return await watch
+        finally:
+            watch.cancel()
+        await asyncio.wait({watch})
+        self.source.close()
+        was_suspended = self.now() - asked_at > wait_s + MIN_OUTAGE_S
+        self._record_silence(has_answered and not was_suspended)
+        return await self.source.watch(self.view.revision, wait_s)
+
+    async def _probe_beside(self, watch: asyncio.Future, at: float) -> bool:
+        """Probe the store at a time unless the watch has been answered by then."""
+        delay_s = at - asyncio.get_running_loop().time()
+        await asyncio.wait({watch}, timeout=max(0.0, delay_s))
+        if watch.done():
+            return True
+        probe = asyncio.ensure_future(self.probe())
+        try:
+            await asyncio.wait({watch, probe}, return_when=asyncio.FIRST_COMPLETED)
+            return watch.done() or await probe
+        finally:
+            probe.cancel()
+
+    def _record_silence(self, has_answered: bool) -> None:
+        structlog.get_logger().warning("store_silent", has_answered=has_answered)
+        if has_answered:
+            self._store_answered_at = self.now()
+        else:
+            self._record_failure(
+                Failure(ErrorKind.STORE_UNREACHED, "a watch and a probe unanswered")
+            )
+
     def _record_failure(self, failure: Failure) -> None:
         if not self.store_lost:
             structlog.get_logger().warning(
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -139,3 +139,32 @@
             assert client.era == 3
 
         run_scenario(scenario)
+
+
+class TestProbe:
+    def test_answers_whether_the_store_serves(self):
+        async def scenario(store, client):
+            found = []
+            for mode in ("serve", "busy", "silent", "serve"):
+                store.mode = mode
+                found.append(await client.probe())
+            assert found == [True, False, False, True]
+            assert (client.probe_count, client.call_count) == (4, 0)
+
+        run_scenario(scenario)
+
+    def test_runs_beside_a_watch(self):
+        # Guards against a probe that waits for the watch, or takes its connection.
+        async def scenario(store, client):
+            put_replica(store, 1)
+            watch = asyncio.ensure_future(client.watch(store.revision, 5.0))
+            await asyncio.sleep(0.1)
+            assert await client.probe()
+            put_replica(store, 2)
+            assert len((await watch).changes) == 1
+
+        run_scenario(scenario)
+
+    def test_store_that_accepts_nothing(self):
+        client = StoreClient(f"127.{221 + WORKER}.0.1:{next(_ports)}")
+        assert not asyncio.run(client.probe())
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 
 import pytest
 
@@ -14,6 +15,8 @@
 from anvilhoist.peers.members import Members
 from anvilhoist.peers.messages import Heartbeat, VmState, decode_view
 from anvilhoist.peers.reading import RELAY_INDEXES, PeerReader
+from anvilhoist.platform.probe import PROBE_TIMEOUT_S
+from anvilhoist.platform.store import CONNECT_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
 from anvilhoist.world.follow import StoreFollower
 from anvilhoist.world.model import (
     Change,
@@ -35,14 +38,26 @@
 ENTRY = ReplicaEntry("i-1", "shard", "10.0.0.1:80", "vaxjo", 3, born_ms=5)
 OTHER = ReplicaEntry("i-2", "shard", "10.0.0.2:80", "vaxjo", 3, born_ms=5)
 LOST = Failure(ErrorKind.STORE_UNREACHED, "cut")
+SHORT_OUTAGE_S = 2.5  # little longer than two check-ins of a replica take
+CONTACT_S = 4.0  # time after which VMs whose connections went silent are in touch
 
 
 @dataclass(slots=True)
 class FakeStore:
-    """Store whose links to single VMs can be cut, by number of the VM."""
+    """Store whose links to single VMs can be cut, by number of the VM.
+
+    Attributes
+    ----------
+    away : bool
+        Whether the store answers nothing, without a reset.
+    links : list of FakeLink
+        All links to the store, also of VMs that have ended.
+    """
 
     changes: list[Change] = field(default_factory=list)
     cut: set[int] = field(default_factory=set)
+    away: bool = False
+    links: list[FakeLink] = field(default_factory=list)
 
     @property
     def revision(self) -> int:
@@ -51,13 +66,38 @@
     def put(self, change: Change) -> None:
         self.changes.append(change)
 
+    def silence(self) -> None:
+        """Let all open connections go silent for good, while new ones work."""
+        for link in self.links:
+            link.is_silent = link.is_connected
+
 
 @dataclass(slots=True)
 class FakeLink:
-    """Link of one VM to the store."""
+    """Link of one VM to the store.
+
+    Attributes
+    ----------
+    watches, probes : int
+        Number of calls of each kind so far.
+    """
 
     store: FakeStore
     number: int
+    is_connected: bool = False
+    is_silent: bool = False
+    watches: int = 0
+    probes: int = 0
+
+    def __post_init__(self):
+        self.store.links.append(self)
+
+    async def probe(self) -> bool:
+        self.probes += 1
+        if self.store.away:
+            await asyncio.sleep(PROBE_TIMEOUT_S)
+            return False
+        return self.number not in self.store.cut
 
     async def read_all(self) -> Snapshot | Failure:
         if self.number in self.store.cut:
@@ -76,15 +116,24 @@
     async def watch(self, after: int, wait_s: float) -> ChangeBatch | Failure:
         now = asyncio.get_running_loop().time
         end_at = now() + wait_s
+        self.watches += 1
+        if self.store.away and not self.is_connected:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            return LOST
+        self.is_connected = True
         while self.number not in self.store.cut:
-            if self.store.revision > after or now() >= end_at:
+            if self.is_silent or self.store.away:
+                if now() >= end_at + WATCH_TIMEOUT_MARGIN_S:
+                    break
+            elif self.store.revision > after or now() >= end_at:
                 changes = self.store.changes[after:]
                 return ChangeBatch(self.store.revision, changes)
             await asyncio.sleep(TICK_S / 10)
+        self.close()
         return LOST
 
     def close(self) -> None:
-        return
+        self.is_connected = self.is_silent = False
 
 
 class FakePeerClient:
@@ -148,13 +197,15 @@
             reader._relays = ("10.0.0.0", "10.0.0.1")
             coroutines += [reader.follow_relay(index) for index in RELAY_INDEXES]
             coroutines.append(self._hear_relays(members))
+        link = FakeLink(self.store, number)
         follower = StoreFollower(
             view,
-            FakeLink(self.store, number),
+            link,
             reader.fetch_newer,
             self.now,
             lambda: 2,
             lambda: number != self.FOLLOWER,
+            link.probe,
         )
         coroutines.append(follower.run())
         FakePeerClient.views[f"10.0.0.{number}:2"] = view
@@ -191,6 +242,14 @@
         self.store.put(ReplicaRemoved(ENTRY.instance))
         self.store.cut.clear()
 
+    async def lose_store_silently(self, outage_s: float) -> None:
+        """Let the store answer nothing, without a reset, while an entry lapses."""
+        self.store.away = True
+        self.store.silence()
+        await asyncio.sleep(outage_s)
+        self.store.put(ReplicaRemoved(ENTRY.instance))
+        self.store.away = False
+
     async def change_often(self) -> None:
         """Write a change three times a second, until cancelled."""
         while True:
@@ -299,3 +358,92 @@
             return await asyncio.gather(*uses)
 
         assert max(play(act)) <= DRAIN_S + 0.5
+
+
+class TestSilentConnections:
+    @pytest.mark.parametrize("busy", [False, True])
+    @pytest.mark.parametrize("removed_after_s", [0.0, 0.3, 1.0, 1.8, 2.5, 3.5])
+    @pytest.mark.parametrize("phase", range(24))
+    def test_removed_replica_is_not_kept_for_a_silent_connection(
+        self, play, phase, removed_after_s, busy
+    ):
+        # Guards against a silence that is taken for an outage in which entries lapsed.
+        async def act(zone):
+            await asyncio.sleep(phase * TICK_S)
+            tasks = [asyncio.create_task(zone.change_often())] if busy else []
+            zone.store.silence()
+            await asyncio.sleep(removed_after_s)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            uses = [zone.measure_use(number, 3 * DRAIN_S) for number in range(3)]
+            found = await asyncio.gather(*uses)
+            return found, tasks
+
+        found, _ = play(act)
+        assert max(found) <= max(DRAIN_S, CONTACT_S - removed_after_s)
+
+    @pytest.mark.parametrize("outage_s", [2.5, 3.1, 4.5, 6.0])
+    @pytest.mark.parametrize("phase", range(24))
+    def test_entries_that_lapse_in_a_silent_outage_stay_until_they_return(
+        self, play, phase, outage_s
+    ):
+        # Guards against an outage that is taken for silent connections.
+        found = play(partial(self.measure_use_after_silent_outage, phase, outage_s))
+        vms = 3 if outage_s > SHORT_OUTAGE_S else Zone.FOLLOWER
+        assert min(found[:vms]) >= RETURN_S + 1.0
+
+    @staticmethod
+    async def measure_use_after_silent_outage(phase, outage_s, zone):
+        await asyncio.sleep(phase * TICK_S)
+        await zone.lose_store_silently(outage_s)
+        watched = [
+            asyncio.create_task(zone.measure_use(number, RETURN_S + 1.0))
+            for number in range(3)
+        ]
+        await asyncio.sleep(RETURN_S)
+        zone.store.put(ReplicaChanged(ENTRY))
+        return [await task for task in watched]
+
+    def test_outage_while_the_process_is_suspended_leaves_entries(self):
+        # Guards against probes before and after a suspension that hide an outage.
+        async def act():
+            loop, store, suspended_s = asyncio.get_running_loop(), FakeStore(), 0.0
+            store.put(ReplicaChanged(ENTRY))
+
+            def read_clock() -> float:
+                return loop.time() + suspended_s
+
+            async def fetch_from_peer(revision):
+                return None
+
+            view = View(read_clock, lambda instance, entry: None)
+            link = FakeLink(store, 0)
+            follower = StoreFollower(
+                view, link, fetch_from_peer, read_clock, probe=link.probe
+            )
+            task = loop.create_task(follower.run())
+            while not link.probes:
+                await asyncio.sleep(TICK_S)
+            store.silence()
+            store.put(ReplicaRemoved(ENTRY.instance))
+            suspended_s = 6.0
+            await asyncio.sleep(RETURN_S)
+            task.cancel()
+            return view
+
+        view = run_in_virtual_time(act())
+        assert view.revision == 2
+        assert ENTRY.instance in view.entries
+
+    def test_calm_store_costs_at_most_a_tenth_more(self, play):
+        # Guards against probes that cost more than they are worth: a tenth of a watch.
+        async def act(zone):
+            links = zone.store.links[:2]
+            before = [(link.watches, link.probes) for link in links]
+            await asyncio.sleep(60.0)
+            return [
+                (link.watches - watches, link.probes - probes)
+                for link, (watches, probes) in zip(links, before, strict=True)
+            ]
+
+        for watches, probes in play(act):
+            assert 0 < probes <= watches
