Show that a VM that reads through others misses a short outage

A VM whose relayed view is 2.8 s old asks the store itself. If the store has just returned from an outage of 2.5 s in which connections hung, that first call is answered, no outage is noted, and a live replica whose entry lapsed is dropped at once. The replica is back in use with its entry, up to two seconds later.

--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -391,6 +391,16 @@
         vms = 3 if outage_s > SHORT_OUTAGE_S else Zone.FOLLOWER
         assert min(found[:vms]) >= RETURN_S + 1.0
 
+    def test_short_silent_outage_leaves_entries_at_a_vm_that_reads_through_others(
+        self, play
+    ):
+        # Guards against a VM that asks the store once it is back and sees no outage.
+        uses = []
+        for phase in range(24):
+            act = partial(self.measure_use_after_silent_outage, phase, SHORT_OUTAGE_S)
+            uses.append(play(act)[Zone.FOLLOWER])
+        assert min(uses) >= RETURN_S + 1.0
+
     @staticmethod
     async def measure_use_after_silent_outage(phase, outage_s, zone):
         await asyncio.sleep(phase * TICK_S)
