Take no second outcome for a HEAD request

A status that is no HTTP status was handed on as a response to a HEAD request, and a second response could take the place of the first.

Cause: the end of a head completed a response to HEAD although the exchange had an outcome. Class: an event handled without a look at what has been decided.

Evidence: the test of status 999 failed before and passes now; the one of two responses holds on both, as the parser was not asked for the second in one piece there.

--- a/src/anvilhoist/http/exchange.py
+++ b/src/anvilhoist/http/exchange.py
@@ -206,7 +206,7 @@
         )
         length = find_header(self._headers, b"content-length") or b""
         self._content_length = int(length) if length.isdigit() else 0
-        if self._is_head_request and status >= 200:
+        if self._is_head_request and status >= 200 and self._outcome is None:
             self._complete_response()
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_server_connection.py
+++ b/tests/test_server_connection.py
@@ -145,6 +145,34 @@
         assert not reusable
 
 
+class TestHeadRequest:
+    REQUEST = b"HEAD / HTTP/1.1\r\nhost: a\r\n\r\n"
+    HEAD = b"HTTP/1.1 %d X\r\nid: ours\r\ncontent-length: 9\r\n\r\n"
+
+    def ask(self, *statuses: int):
+        async def run():
+            data = b"".join(self.HEAD % status for status in statuses)
+            server = await asyncio.start_server(
+                ScriptedServer(data).serve, "127.0.0.1", 0
+            )
+            port = server.sockets[0].getsockname()[1]
+            connection = await open_connection(f"127.0.0.1:{port}", TIMEOUT_S)
+            future = asyncio.get_running_loop().create_future()
+            connection.send(ServerRequest(self.REQUEST, read_origin), future.set_result)
+            outcome = await asyncio.wait_for(future, TIMEOUT_S)
+            connection.abort()
+            server.close()
+            return outcome
+
+        return asyncio.run(run())
+
+    def test_second_response_does_not_replace_the_first(self):
+        assert self.ask(200, 500).status == 200
+
+    def test_status_that_does_not_exist_is_a_failure(self):
+        assert isinstance(self.ask(999), Failure)
+
+
 class TestStatus:
     """A status that HTTP does not have is no response, and not an interim one."""
 
