Join the parts: tests of padded headers and of codings read origins

Two tests of parts that were made side by side used the interface that tells which request a response is to, as it was before. They ask the same as before: the response counts, and its body is whole.

--- a/tests/test_padded_headers.py
+++ b/tests/test_padded_headers.py
@@ -18,7 +18,7 @@
     build_forwarded_response,
     classify_reply,
     is_leaving,
-    make_response_matcher,
+    make_origin_reader,
     parse_call,
     parse_quiet_time,
     parse_rate_limit,
@@ -96,7 +96,7 @@
     outcomes: list = []
     connection = ServerConnection(lambda _: None)
     connection._transport = Transport()
-    request = ServerRequest(b"GET / HTTP/1.1\r\n\r\n", make_response_matcher(CALL))
+    request = ServerRequest(b"GET / HTTP/1.1\r\n\r\n", make_origin_reader(CALL))
     connection.send(request, outcomes.append)
     for piece in (data[:cut], data[cut:]):
         if piece:
--- a/tests/test_transfer_codings.py
+++ b/tests/test_transfer_codings.py
@@ -10,7 +10,7 @@
 from anvilhoist.http.connect import open_connection
 from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request
-from anvilhoist.http.replies import Reply, ServerRequest
+from anvilhoist.http.replies import Reply, ResponseOrigin, ServerRequest
 from anvilhoist.http.request_reader import RequestReader
 
 TIMEOUT_S = 5.0
@@ -64,7 +64,7 @@
             port = server.sockets[0].getsockname()[1]
             connection = await open_connection(f"127.0.0.1:{port}", TIMEOUT_S)
             outcome = asyncio.get_running_loop().create_future()
-            request = ServerRequest(REQUEST, lambda status, headers: True)
+            request = ServerRequest(REQUEST, lambda headers: ResponseOrigin.UNNAMED)
             connection.send(request, outcome.set_result)
             reply = await asyncio.wait_for(outcome, TIMEOUT_S)
             connection.abort()
