Let the drill lose more than is written again, and publish at the store's return

Nothing of the product is changed. The soak's drill could not fail on the code before the fix: the operators' last configuration was one that every VM knew, and the counter caught up at once.

--- a/src/anvilhoist/site/drill.py
+++ b/src/anvilhoist/site/drill.py
@@ -58,12 +58,20 @@
     failed: int
 
 
+async def copy_store(site: Site) -> None:
+    """Make a copy that lacks more changes than are written again after its return."""
+    await site.send_store_command("copy")
+    for _ in range(LOST_ROUNDS):
+        await write_entries(site)
+
+
 async def lose_changes(
     site: Site, away_s: float, data_centres_out: Collection[str] = ()
 ) -> None:
     """Take the store away, and set it back to its last copy.
 
-    Operators write their state again before the store answers the VMs.
+    Operators write their state again, with a new configuration, before the store
+    answers the VMs.
 
     Parameters
     ----------
@@ -77,7 +85,7 @@
     await site.send_store_command("mode", mode="busy")
     await asyncio.sleep(away_s)
     await site.send_store_command("restore")
-    await site.put_configuration(site.make_configuration())
+    await site.publish_configuration()
     for data_centre in DATA_CENTRES:
         await site.set_data_centre_out(data_centre, data_centre in data_centres_out)
 
@@ -161,13 +169,9 @@
         await site.start()
         load = LoadGenerator(site, SEED)
         load.start()
-        await site.send_store_command("copy")
-        # The copy lacks more changes than are written again.
-        for _ in range(LOST_ROUNDS):
-            await write_entries(site)
+        await copy_store(site)
         await asyncio.sleep(CALM_S)
         await lose_changes(site, away_s)
-        await site.publish_configuration()
         settled = asyncio.create_task(bring_back(site))
         followed_s = await wait_until_followed(site)
         await settled
--- a/src/anvilhoist/site/soak.py
+++ b/src/anvilhoist/site/soak.py
@@ -18,7 +18,13 @@
 from ..peers.members import rank_hosts
 from ..peers.relays import RANKING_KEY, STORE_READERS
 from ..process import run_cli
-from .drill import LAPSED_S, bring_back, find_old_configurations, lose_changes
+from .drill import (
+    LAPSED_S,
+    bring_back,
+    copy_store,
+    find_old_configurations,
+    lose_changes,
+)
 from .invariants import TrafficCutoff, Violation, find_violations
 from .load import LoadGenerator, summarize_results
 from .proxy import MODES as PROXY_MODES
@@ -221,7 +227,7 @@
         self._log_event(
             f"store away for {away_s:.1f} s, back from a copy {copy_age_s:.1f} s old"
         )
-        await self.site.send_store_command("copy")
+        await copy_store(self.site)
         await asyncio.sleep(copy_age_s)
         self._extend_disturbance(away_s + LAPSED_S)
         await lose_changes(self.site, away_s, self._data_centres_out)
