Make a watch that is reset anew at once, without doubt

Callers saw nothing, but a VM that reads the store's answers 0.4 s late used a removed replica for up to 3.71 s after its removal (rule: 3 s) if its watch was cut just then.

Cause: a reset counted as the beginning of an outage. The VM paused for 0.3 s, and what it read then was in doubt for 2.3 s if the last answer was over a second old.

Change: a lost connection has its own kind of error from the store's client; the watch is made anew at once on another one, and the time between signs of life decides as it does for silent ones. A store that doesn't answer that is lost as before. New event `store_reset`.

--- a/src/anvilhoist/platform/store.py
+++ b/src/anvilhoist/platform/store.py
@@ -234,6 +234,8 @@
             return Failure(ErrorKind.STORE_UNREACHED, f"{path}: {error}")
         if isinstance(reply, Failure):
             kind = ErrorKind.STORE_UNREACHED
+            if reply.kind is ErrorKind.CONNECTION_LOST:
+                kind = ErrorKind.CONNECTION_LOST
             if self._connection.body_too_large:
                 kind = ErrorKind.STORE_ANSWER_TOO_LARGE
             self.close()
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -149,7 +149,7 @@
         self._has_snapshot = True
 
     async def _watch(self, wait_s: float) -> ChangeBatch | HistoryGone | Failure:
-        """Watch the store, anew if the connection turns out to be silent.
+        """Watch the store, anew if the connection turns out to be silent or is lost.
 
         Entries lapse when replicas have been silent for several check-ins. If the store
         answers between two watches, in the middle of the second, and once that one is
@@ -164,13 +164,13 @@
         try:
             middle = await self._probe_beside(watch, start + middle_s, overdue_at)
             overdue = await self._probe_beside(watch, overdue_at, math.inf)
-            if watch.done():
-                return await watch
+            if watch.done() and not _has_lost_connection(watch.result()):
+                return watch.result()
         finally:
             watch.cancel()
         await asyncio.wait({watch})
         self.source.close()
-        self._record_silence([middle, overdue])
+        self._record_lost_connection(watch.cancelled(), [middle, overdue])
         # No probe is made beside this one, so it must not wait.
         return await self.source.watch(self.view.revision, 0.0)
 
@@ -185,14 +185,19 @@
         await asyncio.wait({watch}, timeout=max(0.0, delay_s))
         return await probe_beside(watch, self.probe, self.now, until)
 
-    def _record_silence(self, signs: list[SignOfLife | None]) -> None:
+    def _record_lost_connection(
+        self, is_silent: bool, signs: list[SignOfLife | None]
+    ) -> None:
         gap_s = find_longest_gap(self._find_last_contact(), signs, self.now())
         has_answered = gap_s <= MAX_SILENCE_S
         structlog.get_logger().warning(
-            "store_silent", has_answered=has_answered, gap_s=round(gap_s, 2)
+            "store_silent" if is_silent else "store_reset",
+            has_answered=has_answered,
+            gap_s=round(gap_s, 2),
         )
         if has_answered:
-            self._store_answered_at = self.now()
+            heard = [sign.asked_at for sign in signs if sign is not None]
+            self._store_answered_at = max([self._find_last_contact(), *heard])
         else:
             self._record_failure(
                 Failure(ErrorKind.STORE_UNREACHED, "a watch and a probe unanswered")
@@ -262,5 +267,9 @@
         self._has_snapshot = True
 
 
+def _has_lost_connection(found: object) -> bool:
+    return isinstance(found, Failure) and found.kind is ErrorKind.CONNECTION_LOST
+
+
 def _is_too_large(found: object) -> bool:
     return isinstance(found, Failure) and found.kind is ErrorKind.STORE_ANSWER_TOO_LARGE
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,6 +9,7 @@
 import pytest
 import structlog
 
+from anvilhoist.errors import ErrorKind
 from anvilhoist.http.server import HttpServer
 from anvilhoist.platform import names
 from anvilhoist.platform.publish import (
@@ -141,6 +142,24 @@
         run_scenario(scenario)
 
 
+class TestLostConnection:
+    def test_kind_of_a_watch_that_is_cut(self):
+        # Guards against a cut watch that can't be told from a store that is away.
+        async def cut(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.abort()
+
+        async def run():
+            host, port = f"127.{221 + WORKER}.0.1", next(_ports)
+            server = await asyncio.start_server(cut, host, port)
+            client = StoreClient(f"{host}:{port}")
+            found = await client.watch(0, 1.0)
+            server.close()
+            return found
+
+        assert asyncio.run(run()).kind is ErrorKind.CONNECTION_LOST
+
+
 class TestProbe:
     def test_answers_whether_the_store_serves(self):
         async def scenario(store, client):
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -38,6 +38,7 @@
 ENTRY = ReplicaEntry("i-1", "shard", "10.0.0.1:80", "vaxjo", 3, born_ms=5)
 OTHER = ReplicaEntry("i-2", "shard", "10.0.0.2:80", "vaxjo", 3, born_ms=5)
 LOST = Failure(ErrorKind.STORE_UNREACHED, "cut")
+RESET = Failure(ErrorKind.CONNECTION_LOST, "reset")
 SHORT_OUTAGE_S = 2.5  # little longer than two check-ins of a replica take
 CONTACT_S = 4.0  # time after which VMs whose connections went silent are in touch
 
@@ -74,6 +75,11 @@
         for link in self.links:
             link.is_silent = link.is_connected
 
+    def reset(self) -> None:
+        """Reset all open connections, while new ones work."""
+        for link in self.links:
+            link.is_reset = link.is_connected
+
 
 @dataclass(slots=True)
 class FakeLink:
@@ -89,6 +95,7 @@
     number: int
     is_connected: bool = False
     is_silent: bool = False
+    is_reset: bool = False
     watches: int = 0
     probes: int = 0
 
@@ -126,6 +133,9 @@
             return LOST
         self.is_connected = True
         while self.number not in self.store.cut:
+            if self.is_reset:
+                self.close()
+                return RESET
             if self.is_silent or self.store.away:
                 if now() >= end_at + WATCH_TIMEOUT_MARGIN_S:
                     break
@@ -138,7 +148,7 @@
         return LOST
 
     def close(self) -> None:
-        self.is_connected = self.is_silent = False
+        self.is_connected = self.is_silent = self.is_reset = False
 
 
 class FakePeerClient:
@@ -365,6 +375,42 @@
         assert max(play(act)) <= DRAIN_S + 0.5
 
 
+class TestResetConnections:
+    @pytest.mark.parametrize("late_s", [0.0, 0.2, 0.4])
+    @pytest.mark.parametrize("phase", range(24))
+    def test_removed_replica_is_not_kept_for_a_watch_that_is_cut(
+        self, play, phase, late_s
+    ):
+        # Guards against a reset that is taken for an outage in which entries lapsed.
+        async def act(zone):
+            zone.store.late_s = late_s
+            await asyncio.sleep(6.0 + phase * TICK_S)
+            zone.store.reset()
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            uses = [zone.measure_use(number, 3 * DRAIN_S) for number in range(3)]
+            return await asyncio.gather(*uses)
+
+        assert max(play(act)) <= DRAIN_S
+
+    @pytest.mark.parametrize("phase", range(24))
+    def test_reset_at_the_end_of_an_outage_leaves_entries(self, play, phase):
+        # Guards against an outage that is taken for a connection that was reset.
+        async def act(zone):
+            await asyncio.sleep(phase * TICK_S)
+            zone.store.away = True
+            await asyncio.sleep(SHORT_OUTAGE_S)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            zone.store.away = False
+            zone.store.reset()
+            uses = [zone.measure_use(number, RETURN_S + 1.0) for number in range(2)]
+            watched = [asyncio.create_task(use) for use in uses]
+            await asyncio.sleep(RETURN_S)
+            zone.store.put(ReplicaChanged(ENTRY))
+            return [await task for task in watched]
+
+        assert min(play(act)) >= RETURN_S + 1.0
+
+
 class TestSilentConnections:
     @pytest.mark.parametrize("busy", [False, True])
     @pytest.mark.parametrize("removed_after_s", [0.0, 0.3, 1.0, 1.8, 2.5, 3.5])
