Read the store as soon as no relay answers

Callers saw nothing; a VM that reads through two others used a removed replica for up to 3.63 s (rule: 3 s) if both of them ended or fell silent just before the removal and the VM reads each answer 0.4 s late. Answers at once left it 0.1 s.

Cause: failed requests to relays were logged and made again, but what turned the VM to the store was the age of its view alone, at 2.8 s.

Evidence: the new test in virtual time fails on the code before in 4 of 72 cases.

Change: a VM counts as a reader of the store while neither relay answers: at once if they have ended, after 1.8 s if their connections are silent.

Result: none of the 72 cases fails; the tests of stores and peers pass.

--- a/src/anvilhoist/peers/reading.py
+++ b/src/anvilhoist/peers/reading.py
@@ -42,8 +42,8 @@
 
     @property
     def reads_store(self) -> bool:
-        """Whether this VM reads the store itself, for others as well."""
-        return not self._relays
+        """Whether this VM reads the store itself, as no relay answers it."""
+        return self._lost_relays.issuperset(self._relays)
 
     def update_relays(self, now: float = 0.0) -> None:
         """Choose the relays anew; `now` is passed by timers and not used."""
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,10 +11,15 @@
 from anvilhoist.errors import ErrorKind, Failure
 from anvilhoist.http.limits import ConnectionLimits
 from anvilhoist.http.messages import Request
-from anvilhoist.peers.exchange import CHANGES_PATH, VIEW_PATH, answer_peer
+from anvilhoist.peers.exchange import (
+    CHANGES_PATH,
+    RESPONSE_TIMEOUT_S,
+    VIEW_PATH,
+    answer_peer,
+)
 from anvilhoist.peers.members import Members
 from anvilhoist.peers.messages import Heartbeat, VmState, decode_view
-from anvilhoist.peers.reading import RELAY_INDEXES, PeerReader
+from anvilhoist.peers.reading import CHANGES_WAIT_S, RELAY_INDEXES, PeerReader
 from anvilhoist.platform.probe import PROBE_TIMEOUT_S
 from anvilhoist.platform.store import CONNECT_TIMEOUT_S, WATCH_TIMEOUT_MARGIN_S
 from anvilhoist.world.follow import StoreFollower
@@ -155,6 +160,8 @@
     """Client of a VM that calls it without a network."""
 
     views: dict[str, View]
+    ended: frozenset[str] = frozenset()  # addresses of VMs that have ended
+    silent: frozenset[str] = frozenset()  # addresses of VMs that answer nothing
 
     def __init__(self, address: str):
         self.address = address
@@ -170,6 +177,10 @@
         return
 
     async def _request(self, target: str):
+        if self.address in self.silent:
+            await asyncio.sleep(CHANGES_WAIT_S + RESPONSE_TIMEOUT_S)
+        if self.address in self.ended | self.silent:
+            return Failure(ErrorKind.PEER_LOST, "reset")
         request = Request(b"GET", target.encode(), [])
         response = await answer_peer(self.views[self.address], request)
         if response.status == 410:
@@ -189,7 +200,8 @@
         self.views: dict[int, View] = {}
         self.tasks: dict[int, list[asyncio.Task]] = {}
         self.now = asyncio.get_running_loop().time
-        FakePeerClient.views = {}
+        FakePeerClient.views, FakePeerClient.ended = {}, frozenset()
+        FakePeerClient.silent = frozenset()
         monkeypatch.setattr("anvilhoist.peers.reading.PeerClient", FakePeerClient)
         configuration = Configuration(1, (), {}, ConnectionLimits())
         self.store.put(ConfigurationChanged(configuration))
@@ -219,7 +231,7 @@
             reader.fetch_newer,
             self.now,
             lambda: 2,
-            lambda: number != self.FOLLOWER,
+            lambda: reader.reads_store,
             link.probe,
         )
         coroutines.append(follower.run())
@@ -375,6 +387,27 @@
         assert max(play(act)) <= DRAIN_S + 0.5
 
 
+class TestLostRelays:
+    RELAYS = frozenset({"10.0.0.0:2", "10.0.0.1:2"})
+
+    @pytest.mark.parametrize("late_s", [0.0, 0.2, 0.4])
+    @pytest.mark.parametrize("is_silent", [False, True])
+    @pytest.mark.parametrize("phase", range(0, 24, 2))
+    def test_removed_replica_is_not_kept_without_relays(
+        self, play, phase, is_silent, late_s
+    ):
+        # Guards against a view that is left to age though no relay answers.
+        async def act(zone):
+            zone.store.late_s = late_s
+            await asyncio.sleep(6.0 + phase * TICK_S)
+            name = "silent" if is_silent else "ended"
+            setattr(FakePeerClient, name, self.RELAYS)
+            zone.store.put(ReplicaRemoved(ENTRY.instance))
+            return await zone.measure_use(Zone.FOLLOWER, 3 * DRAIN_S)
+
+        assert play(act) <= DRAIN_S
+
+
 class TestResetConnections:
     @pytest.mark.parametrize("late_s", [0.0, 0.2, 0.4])
     @pytest.mark.parametrize("phase", range(24))
