Say in words what a sign of life and a reader of the store are

Two docstrings, and the detail of `store_lost` after a silence or a reset, which said that a probe was unanswered where the time without a sign of life decides. Found when the diff was read anew; no behaviour changes.

--- a/src/anvilhoist/peers/reading.py
+++ b/src/anvilhoist/peers/reading.py
@@ -42,7 +42,7 @@
 
     @property
     def reads_store(self) -> bool:
-        """Whether this VM reads the store itself, as no relay answers it."""
+        """Whether this VM reads the store itself: it has no relay, or none answers."""
         return self._lost_relays.issuperset(self._relays)
 
     def update_relays(self, now: float = 0.0) -> None:
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -200,7 +200,7 @@
             self._store_answered_at = max([self._find_last_contact(), *heard])
         else:
             self._record_failure(
-                Failure(ErrorKind.STORE_UNREACHED, "a watch and a probe unanswered")
+                Failure(ErrorKind.STORE_UNREACHED, f"no sign of life for {gap_s:.1f} s")
             )
 
     def _record_failure(self, failure: Failure) -> None:
--- a/src/anvilhoist/world/probing.py
+++ b/src/anvilhoist/world/probing.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SignOfLife:
-    """Answer to a probe; the store lived at some time between the two.
+    """Answer to a probe: at some time between the two times the store lived.
 
     Attributes
     ----------
