Ask in one place what kind of failure an outcome is

Callers see nothing; no behaviour changes.

Found when the whole change was read once more: the follower of the store had got `_has_lost_connection` beside `_is_too_large`, two copies of `has_failed_with`, which stood with the replies of HTTP servers and so was overlooked.

Change: `has_failed_with` stands beside `Failure` in errors.py, takes any outcome, and serves the follower, too; both copies are gone.

The crowd tests weren't run on this commit.

--- a/src/anvilhoist/errors.py
+++ b/src/anvilhoist/errors.py
@@ -151,3 +151,8 @@
     """Command line with a wrong flag or argument, or with an unusable input file."""
 
     exit_code = 2
+
+
+def has_failed_with(outcome: object, kind: ErrorKind) -> bool:
+    """Return whether an outcome is a failure of a kind."""
+    return isinstance(outcome, Failure) and outcome.kind is kind
--- a/src/anvilhoist/forward/gate.py
+++ b/src/anvilhoist/forward/gate.py
@@ -5,8 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 
-from ..errors import ErrorKind
-from ..http.replies import Outcome, has_failed_with
+from ..errors import ErrorKind, has_failed_with
+from ..http.replies import Outcome
 from ..upstreams.replica import Exchange
 from .call import Verdict
 
--- a/src/anvilhoist/forward/gather.py
+++ b/src/anvilhoist/forward/gather.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from functools import partial
 
-from ..errors import ErrorKind
-from ..http.replies import Outcome, has_failed_with
+from ..errors import ErrorKind, has_failed_with
+from ..http.replies import Outcome
 from ..platform.edge import read_digest
 from ..upstreams.replica import Exchange, Replica
 from ..world.model import Gather, Route
--- a/src/anvilhoist/forward/shard.py
+++ b/src/anvilhoist/forward/shard.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from ..errors import ErrorKind
-from ..http.replies import Outcome, has_failed_with
+from ..errors import ErrorKind, has_failed_with
+from ..http.replies import Outcome
 from ..upstreams.replica import Exchange, Replica
 from .call import NOT_EXECUTED_VERDICTS, Verdict
 
--- a/src/anvilhoist/forward/single.py
+++ b/src/anvilhoist/forward/single.py
@@ -6,8 +6,8 @@
 
 import structlog
 
-from ..errors import ErrorKind, Failure
-from ..http.replies import Outcome, Reply, has_failed_with
+from ..errors import ErrorKind, Failure, has_failed_with
+from ..http.replies import Outcome, Reply
 from ..upstreams.replica import Exchange, Replica
 from ..world.model import Route
 from .call import NOT_EXECUTED_VERDICTS, Call, Verdict
--- a/src/anvilhoist/http/replies.py
+++ b/src/anvilhoist/http/replies.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from ..errors import ErrorKind, Failure
+from ..errors import Failure
 from .client_budget import ClientBudget
 from .messages import Headers
 
@@ -89,8 +89,3 @@
     read_origin: OriginReader
     body: bytes = b""
     budget: ClientBudget | None = None
-
-
-def has_failed_with(outcome: Outcome, kind: ErrorKind) -> bool:
-    """Return whether there is no response, and this is why."""
-    return isinstance(outcome, Failure) and outcome.kind is kind
--- a/src/anvilhoist/upstreams/replica.py
+++ b/src/anvilhoist/upstreams/replica.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..errors import ErrorKind, Failure
+from ..errors import ErrorKind, Failure, has_failed_with
 from ..http.connect import open_connection
 from ..http.exchange import ServerConnection
-from ..http.replies import Outcome, Reply, ServerRequest, has_failed_with
+from ..http.replies import Outcome, Reply, ServerRequest
 from ..tasks import start_task
 from ..world.model import ReplicaEntry
 from .health import PROBE_INTERVAL_S, Health
--- a/src/anvilhoist/world/follow.py
+++ b/src/anvilhoist/world/follow.py
@@ -9,7 +9,7 @@
 
 import structlog
 
-from ..errors import ErrorKind, Failure
+from ..errors import ErrorKind, Failure, has_failed_with
 from .era import format_revision, get_era
 from .model import Snapshot
 from .probing import ProbeStore, SignOfLife, find_longest_gap, probe_beside
@@ -119,7 +119,7 @@
             found = await self.source.read_all()
         else:
             found = await self._watch(wait_s)
-            if _is_too_large(found):
+            if has_failed_with(found, ErrorKind.STORE_ANSWER_TOO_LARGE):
                 self._has_snapshot = False
                 found = await self.source.read_all()
         if isinstance(found, Failure):
@@ -164,7 +164,9 @@
         try:
             middle = await self._probe_beside(watch, start + middle_s, overdue_at)
             overdue = await self._probe_beside(watch, overdue_at, math.inf)
-            if watch.done() and not _has_lost_connection(watch.result()):
+            if watch.done() and not has_failed_with(
+                watch.result(), ErrorKind.CONNECTION_LOST
+            ):
                 return watch.result()
         finally:
             watch.cancel()
@@ -265,11 +267,3 @@
         )
         self.view.replace(found)
         self._has_snapshot = True
-
-
-def _has_lost_connection(found: object) -> bool:
-    return isinstance(found, Failure) and found.kind is ErrorKind.CONNECTION_LOST
-
-
-def _is_too_large(found: object) -> bool:
-    return isinstance(found, Failure) and found.kind is ErrorKind.STORE_ANSWER_TOO_LARGE
